--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -264,7 +264,8 @@
 
 static cJSON *job_value(const char *spec_text, const char *state, const char *bits, double at) {
     cJSON *o = cJSON_CreateObject();
-    cJSON_AddRawToObject(o, "spec", spec_text);
+    /* Parsed, not raw: the same value is applied to our own records once it is written. */
+    cJSON_AddItemToObject(o, "spec", cJSON_Parse(spec_text));
     cJSON_AddStringToObject(o, "state", state);
     if (bits) cJSON_AddStringToObject(o, "done", bits);
     cJSON_AddNumberToObject(o, "at", at);
