--- /dev/null
+++ b/src/jobs/jobs_test.c
@@ -0,0 +1,124 @@
+#include "jobs/jobs.h"
+#include "membership/membership.h"
+
+#include <string.h>
+
+#include "../../tests/standin/site.h"
+
+static struct settings cfg;
+static const char good[] =
+    "{\"uid\":\"req-000412\",\"jobclass\":\"train\",\"owner\":\"red\",\"shape\":\"group\",\"rank\":\"high\",\"tasks\":2,"
+    "\"vcpus\":8.0,\"gpus\":1.0,\"memory_gb\":64.0,\"image\":\"img-07\",\"pull_gb\":6.2,\"flavours\":[\"g8\"],\"site\":null,"
+    "\"together\":true,\"spread\":false,\"reclaimable\":true,\"runtime_s\":240.0,\"checkpoint_s\":30.0,\"flush_s\":4.0,"
+    "\"due_s\":900.0,\"extra\":1}";
+
+static void admission(void **state) {
+    (void)state;
+    static const struct {
+        const char *from, *to;
+        int status;
+        const char *names;
+    } rows[] = {
+        {"\"extra\":1", "\"extra\":2", 0, ""},
+        {"req-000412", "job-000412", 400, "uid"},
+        {"req-000412", "req-00x412", 400, "uid"},
+        {"\"tasks\":2", "\"tasks\":0", 400, "tasks"},
+        {"\"tasks\":2", "\"tasks\":2.5", 400, "tasks"},
+        {"\"tasks\":2", "\"tasks\":100001", 400, "tasks"},
+        {"\"vcpus\":8.0", "\"vcpus\":-1", 400, "vcpus"},
+        {"\"vcpus\":8.0", "\"vcpus\":1e999", 400, "vcpus"},
+        {"\"gpus\":1.0", "\"gpus\":\"1\"", 400, "gpus"},
+        {"\"rank\":\"high\"", "\"rank\":\"urgent\"", 400, "rank"},
+        {"\"shape\":\"group\",", "", 400, "shape"},
+        {"\"together\":true", "\"together\":1", 400, "together"},
+        {"[\"g8\"]", "\"g8\"", 400, "flavours"},
+        {"[\"g8\"]", "null", 0, ""},
+        {"\"due_s\":900.0", "\"due_s\":null", 0, ""},
+        {"\"owner\":\"red\"", "\"owner\":\"nobody\"", 422, "owner"},
+        {"[\"g8\"]", "[\"g9\"]", 422, "machine type"},
+        {"\"site\":null", "\"site\":\"zz\"", 422, "machine type"},
+        {"\"site\":null", "\"site\":\"za\"", 0, ""},
+        {"\"gpus\":1.0", "\"gpus\":4.5", 422, "limit"}, /* 2 x 4.5 over the team's 8 */
+        {"\"memory_gb\":64.0", "\"memory_gb\":4000", 422, "machine type"},
+    };
+    struct flavour_info f = {.sku = "g8", .vcpus = 96, .gpus = 8, .memory_gb = 768, .sites = {(char *)"za"}, .n_sites = 1};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char *text = site_with(good, rows[i].from, rows[i].to), why[128] = "";
+        struct job_spec j;
+        int rc = jobs_parse(text, strlen(text), &cfg, &j, why, sizeof why);
+        if (rc == 0) rc = jobs_feasible(&j, &cfg, &f, 1, why, sizeof why);
+        assert_int_equal(rc, rows[i].status);
+        if (rc) assert_non_null(strstr(why, rows[i].names));
+        if (rc != 400) jobs_spec_clear(&j);
+        g_free(text);
+    }
+    struct job_spec j;
+    char why[64];
+    assert_int_equal(jobs_parse("[]", 2, &cfg, &j, why, sizeof why), 400);
+    assert_int_equal(jobs_parse("{", 1, &cfg, &j, why, sizeof why), 400);
+}
+
+static void bits(void **state) {
+    (void)state;
+    uint8_t a[600] = {0}, b[600] = {0};
+    static const int set[] = {0, 7, 8, 4095, 4096, 4700};
+    for (size_t i = 0; i < G_N_ELEMENTS(set); i++) a[set[i] / 8] |= (uint8_t)(1 << (set[i] % 8));
+    char *x = jobs_bits_text(a, 0, 4096), *y = jobs_bits_text(a, 4096, 704);
+    assert_int_equal(strlen(x), 1024);
+    jobs_bits_read(x, b, 0, 4096);
+    jobs_bits_read(y, b, 4096, 704);
+    assert_memory_equal(a, b, sizeof a);
+    g_free(x);
+    g_free(y);
+}
+
+static void put(const char *state, const char *done, int64_t stamp) {
+    char *text = g_strdup_printf("{\"spec\":%s,\"state\":\"%s\",\"done\":\"%s\",\"at\":5}", good, state, done);
+    cJSON *o = cJSON_Parse(text);
+    store_lock();
+    store_apply("job/req-000412", o, stamp);
+    store_unlock();
+    cJSON_Delete(o);
+    g_free(text);
+}
+
+/* A record written by ourselves is applied by the same path: its specification must be an object by then. */
+static void records(void **state) {
+    (void)state;
+    put("queued", "00", 3);
+    struct job *j = jobs_find("req-000412");
+    assert_non_null(j);
+    assert_true(j->known);
+    assert_int_equal(jobs_active()->len, 1);
+    assert_false(jobs_dirty(j));
+    /* One task of a gang done: all are. */
+    jobs_mark_done(j, 0);
+    assert_int_equal(j->n_pend, 2);
+    assert_true(jobs_dirty(j));
+    struct store_txn t;
+    store_txn_init(&t);
+    store_lock();
+    jobs_adds(j, &t, 8);
+    store_unlock();
+    const cJSON *op = cJSON_GetArrayItem(t.ops, 0);
+    assert_string_equal(base_str(op, "set"), "job/req-000412");
+    assert_string_equal(base_str(cJSON_GetObjectItem(op, "data"), "state"), "done");
+    assert_true(cJSON_IsObject(cJSON_GetObjectItem(cJSON_GetObjectItem(op, "data"), "spec")));
+    store_txn_free(&t);
+    put("done", "03", 4);
+    assert_int_equal(j->state, JOB_DONE);
+    assert_int_equal(jobs_active()->len, 0);
+    /* A final state never goes back, not even for a record that says so. */
+    put("queued", "00", 5);
+    assert_int_equal(j->state, JOB_DONE);
+}
+
+int main(void) {
+    char err[256];
+    if (!settings_parse(SITE_JSON, "f.json", &cfg, err, sizeof err)) return 1;
+    store_init(&cfg);
+    membership_init(&cfg);
+    jobs_init(&cfg);
+    const struct CMUnitTest tests[] = {cmocka_unit_test(admission), cmocka_unit_test(bits), cmocka_unit_test(records)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/main.c
+++ b/src/main.c
@@ -73,6 +73,7 @@
     }
     if (check) {
         puts("settings are good");
+        settings_clear(&cfg);
         return 0;
     }
     base_log_init(getenv("LOG_LEVEL"));
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -34,8 +34,9 @@
 
 bool membership_verified(void) {
     /* A cancellation told elsewhere after our last look must be kept within cancel_s, and an answered report keeps
-     * tasks alive for lease_s more. The margin covers the clocks' drift and the way of an answer. */
-    double most = base_secs(cfg->cancel) - base_secs(cfg->lease) - 4.5 - 0.001 * base_secs(cfg->cancel);
+     * tasks alive for lease_s more, counted from when it was sent. The margin, a tenth and a bit, covers the clocks'
+     * drift; it scales, since a deployment may leave little between the two. */
+    double room = base_secs(cfg->cancel) - base_secs(cfg->lease), most = room * 0.9 - 0.2 - 0.001 * base_secs(cfg->cancel);
     return store_ready() && base_since(store_verified()) < most;
 }
 
--- /dev/null
+++ b/src/membership/membership_test.c
@@ -0,0 +1,71 @@
+#include "membership/membership.h"
+
+#include <string.h>
+
+#include "../../tests/standin/site.h"
+
+static void plan(void **state) {
+    (void)state;
+    static const struct {
+        int size, owner[6], nodes, share, to;
+    } rows[] = {
+        {3, {0, 1, 2}, 3, -1, 0},   /* even: nothing moves */
+        {3, {0, 0, 0}, 2, 0, 1},    /* one has all, a newcomer gets one */
+        {3, {0, 0, 1}, 2, -1, 0},   /* a difference of one stays: no flapping */
+        {3, {0, -1, 0}, 2, 1, 1},   /* an orphan goes first, to who has least */
+        {3, {-1, -1, -1}, 1, 0, 0}, /* the last one takes all */
+        {3, {0, 0, 0}, 0, -1, 0},   /* nobody lives */
+        {6, {0, 0, 0, 1, 1, 2}, 3, 0, 2},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        int to = -1, k = membership_plan(rows[i].size, rows[i].owner, rows[i].nodes, &to);
+        assert_int_equal(k, rows[i].share);
+        if (k >= 0) assert_int_equal(to, rows[i].to);
+    }
+}
+
+static void set(const char *key, const char *json, int64_t stamp) {
+    cJSON *x = cJSON_Parse(json);
+    store_lock();
+    store_apply(key, x, stamp);
+    store_unlock();
+    cJSON_Delete(x);
+}
+
+/* What a late watch brings must not undo what a newer write has shown. */
+static void mirror_order(void **state) {
+    (void)state;
+    set("share/0", "{\"owner\":\"n1\",\"inc\":\"x\",\"fence\":5}", 10);
+    set("share/0", "{\"owner\":\"n0\",\"inc\":\"y\",\"fence\":4}", 9);
+    assert_string_equal(membership_share(0)->owner, "n1");
+    assert_int_equal(membership_share(0)->fence, 5);
+    store_lock();
+    store_apply("share/0", NULL, 11);
+    store_apply("share/0", NULL, 10);
+    assert_int_equal(store_stamp("share/0"), 0);
+    store_unlock();
+    set("share/0", "{\"owner\":\"n0\",\"inc\":\"y\",\"fence\":4}", 10);
+    assert_int_equal(membership_share(0)->stamp, 0);
+}
+
+/* Nothing is ours before the mirror was read in full, whatever a record says. */
+static void not_ours_unread(void **state) {
+    (void)state;
+    char json[128];
+    g_snprintf(json, sizeof json, "{\"owner\":\"n0\",\"inc\":\"%s\",\"fence\":9}", membership_inc());
+    set("share/1", json, 20);
+    store_lock();
+    assert_false(membership_mine(1));
+    assert_false(membership_verified());
+    store_unlock();
+}
+
+int main(void) {
+    static struct settings s;
+    char err[256];
+    if (!settings_parse(SITE_JSON, "f.json", &s, err, sizeof err)) return 1;
+    store_init(&s);
+    membership_init(&s);
+    const struct CMUnitTest tests[] = {cmocka_unit_test(plan), cmocka_unit_test(mirror_order), cmocka_unit_test(not_ours_unread)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -211,3 +211,16 @@
         if (strcmp(s->teams[i].name, name) == 0) return i;
     return -1;
 }
+
+void settings_clear(struct settings *s) {
+    char **own[] = {&s->node, &s->area, &s->bind, &s->cluster_listen, &s->cloud, &s->state};
+    for (size_t i = 0; i < G_N_ELEMENTS(own); i++) g_free(*own[i]);
+    for (int i = 0; i < s->n_seeds; i++) {
+        g_free(s->seeds[i].node);
+        g_free(s->seeds[i].area);
+        g_free(s->seeds[i].address);
+    }
+    for (int i = 0; i < s->n_zones; i++) g_free(s->zones[i]);
+    for (int i = 0; i < s->n_teams; i++) g_free(s->teams[i].name);
+    memset(s, 0, sizeof *s);
+}
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -46,5 +46,6 @@
 bool settings_load(const char *path, struct settings *out, char *err, size_t errlen);
 bool settings_parse(const char *json, const char *name, struct settings *out, char *err, size_t errlen);
 bool settings_parse_tuning(const char *hcl, const char *name, struct settings_tuning *out, char *err, size_t errlen);
+void settings_clear(struct settings *s);
 int settings_team(const struct settings *s, const char *name);
 #endif
--- /dev/null
+++ b/src/settings/settings_test.c
@@ -0,0 +1,82 @@
+#include "settings/settings.h"
+
+#include <string.h>
+
+#include "../../tests/standin/site.h"
+#include "base/base.h"
+
+static void good_settings(void **state) {
+    (void)state;
+    struct settings s;
+    char err[256];
+    assert_true(settings_parse(SITE_JSON, "f.json", &s, err, sizeof err));
+    assert_int_equal(s.n_teams, 3);
+    assert_int_equal(s.n_seeds, 1);
+    assert_int_equal(s.cancel.tv_sec, 40);
+    assert_int_equal(settings_team(&s, "blue"), 1);
+    assert_int_equal(settings_team(&s, "none"), -1);
+    settings_clear(&s);
+}
+
+static void bad_settings(void **state) {
+    (void)state;
+    static const struct {
+        const char *from, *to, *field;
+    } rows[] = {
+        {"\"node\":\"n0\"", "\"node\":7", "node"},
+        {"127.0.0.1:18080", "127.0.0.1", "bind"},
+        {"127.0.0.1:18081", "127.0.0.1:99999", "cluster_listen"},
+        {"\"size\":2", "\"size\":0", "settings.size"},
+        {"\"gpus\":4", "\"gpus\":9", "settings.teams.gpus"},
+        {"\"name\":\"blue\"", "\"name\":\"red\"", "settings.teams.name"},
+        {"\"cancel_s\":40", "\"cancel_s\":20", "settings.workers.cancel_s"},
+        {"\"rps\":100,", "", "settings.state.rps"},
+        {"\"txn_ops\":8", "\"txn_ops\":1", "settings.state.txn_ops"},
+        {"\"node\":\"n1\"", "\"node\":\"n0\"", "seeds.node"},
+        {"\"sockets\":1000", "\"sockets\":3", "settings.machine_limits.sockets"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct settings s;
+        char err[256] = "";
+        char *text = site_with(SITE_JSON, rows[i].from, rows[i].to);
+        assert_false(settings_parse(text, "f.json", &s, err, sizeof err));
+        assert_non_null(strstr(err, "f.json: "));
+        assert_non_null(strstr(err, rows[i].field));
+        settings_clear(&s);
+        g_free(text);
+    }
+    struct settings s;
+    char err[256];
+    assert_false(settings_parse("[1]", "f.json", &s, err, sizeof err));
+}
+
+static void tuning(void **state) {
+    (void)state;
+    static const struct {
+        const char *text, *wrong; /* wrong: what the error must name, NULL: good */
+    } rows[] = {
+        {"reception = 0.4\nmargin = 2\n", NULL},
+        {"# a comment\ndrain_reopen = 90\n", NULL},
+        {"recepton = 0.4\n", "recepton"},
+        {"reception = 1.5\n", "reception"},
+        {"reception = \"half\"\n", "reception"},
+        {"reception = = 3\n", "line 1"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct settings_tuning t;
+        char err[256] = "";
+        assert_int_equal(settings_parse_tuning(rows[i].text, "t.hcl", &t, err, sizeof err), rows[i].wrong == NULL);
+        if (rows[i].wrong) assert_non_null(strstr(err, rows[i].wrong));
+    }
+    struct settings_tuning t;
+    char err[256];
+    assert_true(settings_parse_tuning("reception = 0.25\ndrain_reopen = 90\n", "t.hcl", &t, err, sizeof err));
+    assert_float_equal(t.reception, 0.25, 1e-9);
+    assert_float_equal(t.admission, 0.8, 1e-9);
+    assert_int_equal(t.drain_reopen.tv_sec, 90);
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {cmocka_unit_test(good_settings), cmocka_unit_test(bad_settings), cmocka_unit_test(tuning)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -331,6 +331,8 @@
     (void)arg;
     struct http_client *c = http_client_new();
     bool full = true;
+    /* An idle watch must come back well within the time for which a look at the store stays good. */
+    int hold_ms = (int)(CLAMP((base_secs(cfg->cancel) - base_secs(cfg->lease)) / 8, 0.1, 1.5) * 1000);
     for (;;) {
         if (full) {
             full = !read_all(c);
@@ -341,7 +343,7 @@
         cJSON *ans = NULL, *x;
         long status;
         struct timespec sent = base_now();
-        snprintf(path, sizeof path, "/changes?prefix=&since=%lld&hold_ms=1500", (long long)mirror_epoch);
+        snprintf(path, sizeof path, "/changes?prefix=&since=%lld&hold_ms=%d", (long long)mirror_epoch, hold_ms);
         budget_take(STORE_RENEW, 0);
         enum store_result r = call(c, "GET", path, NULL, 4000, &ans, &status);
         int64_t epoch;
--- /dev/null
+++ b/src/store/store_test.c
@@ -0,0 +1,119 @@
+#include "store/store.h"
+
+#include <string.h>
+
+#include "../../tests/standin/site.h"
+#include "../../tests/standin/state.h"
+
+static struct settings cfg;
+static struct http_client *c;
+static int applied;
+
+static void count_applied(const char *rest, const cJSON *data, int64_t stamp) {
+    (void)rest;
+    (void)data;
+    (void)stamp;
+    applied++;
+}
+
+static enum store_result set(const char *key, const char *json, int64_t stamp, int64_t lease, struct store_answer *a) {
+    struct store_txn t;
+    store_txn_init(&t);
+    store_txn_if(&t, key, stamp);
+    store_txn_set(&t, key, cJSON_Parse(json), lease);
+    base_sleep(base_span(0.15)); /* the budget refills */
+    enum store_result r = store_multi(c, STORE_RENEW, &t, a);
+    store_txn_free(&t);
+    return r;
+}
+
+/* What each answer of the service means to the caller; an unknown outcome is never taken for a refusal. */
+static void results(void **state) {
+    (void)state;
+    static const struct {
+        enum standin_trouble trouble;
+        int64_t stamp, lease;
+        enum store_result want;
+        bool there;
+    } rows[] = {
+        {STANDIN_OUTAGE, 0, 0, STORE_REFUSED, false},     {STANDIN_BUDGET, 0, 0, STORE_REFUSED, false},
+        {STANDIN_NONE, 0, 99, STORE_BAD, false},          {STANDIN_NONE, 7, 0, STORE_CONFLICT, false},
+        {STANDIN_LOST_ANSWER, 0, 0, STORE_UNKNOWN, true}, {STANDIN_NONE, 0, 0, STORE_OK, true},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char key[16];
+        struct store_answer a;
+        g_snprintf(key, sizeof key, "x/%zu", i);
+        standin_state_trouble(rows[i].trouble);
+        assert_int_equal(set(key, "{\"v\":1}", rows[i].stamp, rows[i].lease, &a), rows[i].want);
+        if (rows[i].want == STORE_CONFLICT) assert_string_equal(a.failed->pdata[0], key);
+        if (rows[i].want == STORE_OK) assert_true(a.epoch > 0);
+        store_answer_clear(&a);
+        standin_state_trouble(STANDIN_NONE);
+        char *v = standin_state_value(key);
+        assert_int_equal(v != NULL, rows[i].there);
+        g_free(v);
+    }
+}
+
+/* A transaction that is applied late fails once the stamp it names has moved. */
+static void late_transaction(void **state) {
+    (void)state;
+    struct store_answer a;
+    assert_int_equal(set("y", "{\"owner\":\"old\"}", 0, 0, &a), STORE_OK);
+    int64_t old = a.epoch;
+    assert_int_equal(set("y", "{\"owner\":\"new\"}", old, 0, &a), STORE_OK);
+    assert_int_equal(set("y", "{\"owner\":\"old\"}", old, 0, &a), STORE_CONFLICT);
+    store_answer_clear(&a);
+    char *v = standin_state_value("y");
+    assert_string_equal(v, "{\"owner\":\"new\"}");
+    g_free(v);
+}
+
+static bool mirrored(const char *key, bool there) {
+    for (int i = 0; i < 60; i++) {
+        store_lock();
+        bool is = store_ready() && (store_stamp(key) != 0) == there;
+        store_unlock();
+        if (is) return true;
+        base_sleep(base_span(0.05));
+    }
+    return false;
+}
+
+/* The mirror follows, through an outage, and reads all again when the watch is told that it is too old. */
+static void mirror(void **state) {
+    (void)state;
+    standin_state_put("z/1", "1");
+    store_mirror_start();
+    assert_true(mirrored("z/1", true));
+    standin_state_put("z/2", "2");
+    assert_true(mirrored("z/2", true));
+    standin_state_trouble(STANDIN_OUTAGE);
+    standin_state_remove("z/1");
+    base_sleep(base_span(0.4));
+    store_lock();
+    assert_true(store_stamp("z/1") != 0);
+    assert_true(base_since(store_verified()) > 0.3);
+    store_unlock();
+    standin_state_trouble(STANDIN_NONE);
+    assert_true(mirrored("z/1", false));
+    int reads = standin_state_calls("/kv");
+    standin_state_trouble(STANDIN_GONE_410);
+    base_sleep(base_span(0.5));
+    assert_true(standin_state_calls("/kv") > reads);
+    assert_true(mirrored("z/2", true));
+    assert_true(applied >= 3);
+}
+
+int main(void) {
+    char err[256];
+    char *text = site_with(SITE_JSON, "127.0.0.1:18084", "127.0.0.1:18184");
+    if (!settings_parse(text, "f.json", &cfg, err, sizeof err) || !standin_state_start(cfg.state)) return 1;
+    g_free(text);
+    store_init(&cfg);
+    store_observe("z/", count_applied);
+    c = http_client_new();
+    const struct CMUnitTest tests[] = {cmocka_unit_test(results), cmocka_unit_test(late_transaction), cmocka_unit_test(mirror)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/standin/state.c
@@ -0,0 +1,215 @@
+#include "state.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+struct row {
+    char *text;
+    int64_t stamp, lease;
+};
+struct event {
+    char *key, *text; /* text NULL: removed */
+    int64_t stamp;
+};
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static GTree *rows;
+static GPtrArray *events;
+static GHashTable *leases, *calls;
+static int64_t epoch = 1, next_lease = 1;
+static enum standin_trouble trouble;
+
+static int by_key(gconstpointer a, gconstpointer b, gpointer d) {
+    (void)d;
+    return strcmp(a, b);
+}
+
+static void row_free(gpointer p) {
+    struct row *r = p;
+    g_free(r->text);
+    g_free(r);
+}
+
+static void note(const char *key, const char *text) {
+    struct event *e = g_new0(struct event, 1);
+    e->key = g_strdup(key);
+    e->text = g_strdup(text);
+    e->stamp = epoch;
+    g_ptr_array_add(events, e);
+}
+
+static void put(const char *key, const char *text, int64_t lease) {
+    struct row *r = g_new0(struct row, 1);
+    r->text = g_strdup(text);
+    r->stamp = epoch;
+    r->lease = lease;
+    g_tree_replace(rows, g_strdup(key), r);
+    note(key, text);
+}
+
+static void drop(const char *key) {
+    if (g_tree_remove(rows, key)) note(key, NULL);
+}
+
+static int64_t stamp_of(const char *key) {
+    struct row *r = g_tree_lookup(rows, key);
+    return r ? r->stamp : 0;
+}
+
+static unsigned multi(const cJSON *o, cJSON *out) {
+    const cJSON *x, *then = cJSON_GetObjectItem(o, "then");
+    cJSON *failed = cJSON_CreateArray();
+    cJSON_ArrayForEach(x, cJSON_GetObjectItem(o, "if")) {
+        int64_t want = -1;
+        base_int(x, "stamp", &want);
+        if (stamp_of(base_str(x, "path")) != want) cJSON_AddItemToArray(failed, cJSON_CreateString(base_str(x, "path")));
+    }
+    cJSON_ArrayForEach(x, then) {
+        int64_t l = 0;
+        if (base_int(x, "lease", &l) && !g_hash_table_contains(leases, GINT_TO_POINTER((int)l))) {
+            cJSON_Delete(failed);
+            return 400;
+        }
+    }
+    if (cJSON_GetArraySize(failed)) {
+        cJSON_AddItemToObject(out, "failed", failed);
+        cJSON_AddNumberToObject(out, "epoch", (double)epoch);
+        return 409;
+    }
+    cJSON_Delete(failed);
+    if (cJSON_GetArraySize(then)) epoch++;
+    cJSON_ArrayForEach(x, then) {
+        int64_t l = 0;
+        base_int(x, "lease", &l);
+        if (base_str(x, "set")) {
+            char *text = cJSON_PrintUnformatted(cJSON_GetObjectItem(x, "data"));
+            put(base_str(x, "set"), text, l);
+            free(text);
+        } else {
+            drop(base_str(x, "remove"));
+        }
+    }
+    cJSON_AddNumberToObject(out, "epoch", (double)epoch);
+    return 200;
+}
+
+static gboolean list_row(gpointer k, gpointer v, gpointer data) {
+    struct row *r = v;
+    cJSON *x = cJSON_CreateObject();
+    cJSON_AddStringToObject(x, "path", k);
+    cJSON_AddItemToObject(x, "data", cJSON_Parse(r->text));
+    cJSON_AddNumberToObject(x, "stamp", (double)r->stamp);
+    cJSON_AddItemToArray(data, x);
+    return FALSE;
+}
+
+/* This server's paths come without their query; the stand-in tells every change it holds, and clients drop what
+ * they know. */
+static void tell_changes(cJSON *out) {
+    cJSON *list = cJSON_AddArrayToObject(out, "events");
+    for (guint i = 0; i < events->len; i++) {
+        struct event *e = events->pdata[i];
+        cJSON *x = cJSON_CreateObject();
+        cJSON_AddStringToObject(x, e->text ? "set" : "remove", e->key);
+        if (e->text) cJSON_AddItemToObject(x, "data", cJSON_Parse(e->text));
+        cJSON_AddNumberToObject(x, "stamp", (double)e->stamp);
+        cJSON_AddItemToArray(list, x);
+    }
+    cJSON_AddNumberToObject(out, "epoch", (double)epoch);
+}
+
+static void on_request(struct http_req *r, void *ctx) {
+    (void)ctx;
+    const char *p = http_path(r);
+    size_t len;
+    cJSON *body = cJSON_ParseWithLength(http_body(r, &len), strlen(http_body(r, NULL))), *out = cJSON_CreateObject();
+    unsigned status = 200;
+    pthread_mutex_lock(&lock);
+    g_hash_table_insert(calls, g_strdup(p), GINT_TO_POINTER(GPOINTER_TO_INT(g_hash_table_lookup(calls, p)) + 1));
+    bool is_multi = strcmp(p, "/multi") == 0;
+    if (trouble == STANDIN_OUTAGE) {
+        status = 503;
+    } else if (is_multi && trouble == STANDIN_BUDGET) {
+        status = 429;
+        trouble = STANDIN_NONE;
+    } else if (is_multi) {
+        status = multi(body, out);
+        if (trouble == STANDIN_LOST_ANSWER) {
+            status = 500;
+            trouble = STANDIN_NONE;
+        }
+    } else if (strcmp(p, "/kv") == 0) {
+        g_tree_foreach(rows, list_row, cJSON_AddArrayToObject(out, "rows"));
+        cJSON_AddNumberToObject(out, "epoch", (double)epoch);
+        cJSON_AddBoolToObject(out, "has_next", false);
+    } else if (g_str_has_prefix(p, "/kv/")) {
+        struct row *row = g_tree_lookup(rows, p + 4);
+        if (row) {
+            cJSON_AddItemToObject(out, "data", cJSON_Parse(row->text));
+            cJSON_AddNumberToObject(out, "stamp", (double)row->stamp);
+        } else {
+            status = 404;
+            cJSON_AddNumberToObject(out, "epoch", (double)epoch);
+        }
+    } else if (strcmp(p, "/grants") == 0) {
+        g_hash_table_add(leases, GINT_TO_POINTER((int)next_lease));
+        cJSON_AddNumberToObject(out, "lease", (double)next_lease++);
+    } else if (g_str_has_prefix(p, "/grants/")) {
+        status = g_hash_table_contains(leases, GINT_TO_POINTER(atoi(p + 8))) ? 200 : 404;
+    } else if (strcmp(p, "/changes") == 0) {
+        if (trouble == STANDIN_GONE_410) {
+            status = 410;
+            trouble = STANDIN_NONE;
+        } else {
+            tell_changes(out);
+        }
+    } else {
+        status = 404;
+    }
+    pthread_mutex_unlock(&lock);
+    cJSON_Delete(body);
+    http_reply_json(r, status, out, 0);
+}
+
+bool standin_state_start(const char *address) {
+    rows = g_tree_new_full(by_key, NULL, g_free, row_free);
+    events = g_ptr_array_new();
+    leases = g_hash_table_new(NULL, NULL);
+    calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    return http_serve(address, 64, on_request, NULL) != NULL;
+}
+
+void standin_state_trouble(enum standin_trouble t) {
+    pthread_mutex_lock(&lock);
+    trouble = t;
+    pthread_mutex_unlock(&lock);
+}
+
+void standin_state_put(const char *key, const char *json) {
+    pthread_mutex_lock(&lock);
+    epoch++;
+    put(key, json, 0);
+    pthread_mutex_unlock(&lock);
+}
+
+void standin_state_remove(const char *key) {
+    pthread_mutex_lock(&lock);
+    epoch++;
+    drop(key);
+    pthread_mutex_unlock(&lock);
+}
+
+char *standin_state_value(const char *key) {
+    pthread_mutex_lock(&lock);
+    struct row *r = g_tree_lookup(rows, key);
+    char *t = r ? g_strdup(r->text) : NULL;
+    pthread_mutex_unlock(&lock);
+    return t;
+}
+
+int standin_state_calls(const char *path) {
+    pthread_mutex_lock(&lock);
+    int n = GPOINTER_TO_INT(g_hash_table_lookup(calls, path));
+    pthread_mutex_unlock(&lock);
+    return n;
+}
--- /dev/null
+++ b/tests/standin/state.h
@@ -0,0 +1,19 @@
+/* Stand-in of the state service, with the troubles that its protocol allows. */
+#ifndef FF_STANDIN_STATE_H
+#define FF_STANDIN_STATE_H
+#include "base/base.h"
+
+enum standin_trouble {
+    STANDIN_NONE,
+    STANDIN_OUTAGE,      /* 503 to everything */
+    STANDIN_LOST_ANSWER, /* the next /multi is applied, and its answer says nothing of use */
+    STANDIN_BUDGET,      /* 429 to the next /multi */
+    STANDIN_GONE_410,    /* the next watch is too old */
+};
+bool standin_state_start(const char *address);
+void standin_state_trouble(enum standin_trouble t);
+void standin_state_put(const char *key, const char *json); /* as another controller would */
+void standin_state_remove(const char *key);
+char *standin_state_value(const char *key); /* NULL: not there; g_free */
+int standin_state_calls(const char *path);
+#endif
