--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -739,10 +739,35 @@
     log_info("machine %s: draining (share %d, N %d, O %.2f, H %.2f)", least->id, k, n, occupied, h);
 }
 
+/* The periodic line of a share: what waits, what there is, what is left. */
+static void tell_share(int k) {
+    int up[2] = {0, 0}, booting[2] = {0, 0}, draining = 0, waiting[4] = {0, 0, 0, 0};
+    double gpus = 0, used = 0, occupied = 0;
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->share != k || m->returning || m->dead) continue;
+        (m->up ? up : booting)[m->spot]++;
+        draining += m->draining;
+        if (!m->up || !m->flavour) continue;
+        gpus += m->flavour->gpus;
+        occupied += placement_occupancy(m, (int)cfg->tuning.window);
+        for (guint b = 0; b < m->bookings->len; b++) used += ((struct booking *)m->bookings->pdata[b])->job->spec.gpus;
+    }
+    GPtrArray *jobs = jobs_active();
+    for (guint i = 0; i < jobs->len; i++) {
+        struct job *j = jobs->pdata[i];
+        if (jobs_share(j) == k) waiting[j->spec.rank] += MAX(0, j->spec.tasks - j->n_pend - (int)j->bookings->len);
+    }
+    log_info("share %d: waiting %d/%d/%d/%d tasks (production to idle), up %d ordinary %d spot, booting %d+%d, draining %d, "
+             "gpus %.0f of %.0f booked, occupancy %.2f, headroom %.2f",
+             k, waiting[3], waiting[2], waiting[1], waiting[0], up[0], up[1], booting[0], booting[1], draining, used, gpus, occupied,
+             placement_headroom(up[0] + up[1] - draining, occupied, cfg->tuning.reception, cfg->tuning.admission));
+}
+
 static void *pool_main(void *arg) {
     (void)arg;
     struct http_client *c = http_client_new();
-    struct timespec watched = {0, 0};
+    struct timespec watched = {0, 0}, told = {0, 0};
     for (;;) {
         pthread_mutex_lock(&kick_lock);
         if (!kicked) base_cond_wait(&kick_cond, &kick_lock, base_span(0.5));
@@ -758,6 +783,11 @@
                     watch_machines(k);
                     run_ledger(k);
                 }
+            if (base_since(told) > 10) {
+                told = base_now();
+                for (int k = 0; k < cfg->size; k++)
+                    if (membership_mine(k)) tell_share(k);
+            }
             store_unlock();
             workers_kick();
         }
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -16,7 +16,7 @@
     .silent_return = {14, 0},
     .node_lease = {4, 0},
     .watch_gap = {0, 80000000},
-    .machines_per_share = 24,
+    .machines_per_share = 60,
 };
 
 struct reader {
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -21,6 +21,12 @@
     pthread_mutex_unlock(&kick_lock);
 }
 
+static double wall(void) {
+    struct timespec t;
+    clock_gettime(CLOCK_REALTIME, &t);
+    return base_secs(t);
+}
+
 static enum task_state state_of(const char *s) {
     static const char *const names[] = {"", "fetching", "gathering", "running", "flushing", "ended"};
     for (int i = 1; i < 6; i++)
@@ -110,6 +116,10 @@
         if (at < 256) listed[at] = true;
         b->seen = true;
         if (b->state != s) b->changed = m->heard;
+        if (s == TASK_RUNNING && b->state != s)
+            log_info("task %s runs on %s (%s): %.1f s after its job came, %.1f s after booking, image was %s", task, m->id,
+                     b->job->spec.jobclass ? b->job->spec.jobclass : "?", wall() - b->job->submitted, base_since(b->booked),
+                     b->job->spec.image && g_hash_table_contains(m->images, b->job->spec.image) ? "there" : "fetched");
         b->state = s;
         if ((s == TASK_RUNNING || s == TASK_GATHERING) && b->job->spec.image) g_hash_table_add(m->images, g_strdup(b->job->spec.image));
         if (s == TASK_ENDED && !b->over) {
