--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -41,6 +41,7 @@
     int failures;
     int cursor;
     bool hungry; /* tasks found no place in the last round */
+    struct timespec preempted;
 };
 
 /* Pure. 0, or 400/422 with the field (and reason) named. */
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -178,6 +178,9 @@
     double c = 0, g = 0, r = 0;
     for (guint i = 0; i < m->bookings->len; i++) {
         const struct job_spec *s = &((struct booking *)m->bookings->pdata[i])->job->spec;
+        /* On a dear machine, work that could run on a cheap one is no pressure: it only fills what stands idle, and
+         * makes way. Counted, it would rent dear machines for itself and hold them. */
+        if (!m->spot && s->reclaimable) continue;
         c += s->vcpus;
         g += s->gpus;
         r += s->memory_gb;
@@ -410,6 +413,59 @@
     return false;
 }
 
+/* Stops lower-ranked tasks on one machine so that a task of the job fits there; the machine that already has the
+ * image comes first, then the one that loses least. The room goes to the job in the round after their release, since
+ * it is ranked before them. */
+static bool preempt_for(struct job *j, GPtrArray *mine, const struct usage *u) {
+    struct machine *best = NULL;
+    double best_cost = 0;
+    const struct flavour_info *f;
+    if (!quota_left(&u[j->spec.team], &j->spec, 1)) return false;
+    for (guint i = 0; i < mine->len; i++) {
+        struct machine *m = mine->pdata[i];
+        const char *together = j->spec.together && j->bookings->len ? ((struct booking *)j->bookings->pdata[0])->m->site : NULL;
+        if (!m->open || !(f = m->flavour) || !placement_allowed(m, j, together, NULL)) continue;
+        double cpu = m->used_cpu, gpu = m->used_gpu, mem = m->used_mem, cost = 0;
+        for (guint b = 0; b < m->bookings->len; b++) {
+            struct booking *x = m->bookings->pdata[b];
+            if (x->over || x->stop || x->job->spec.rank >= j->spec.rank || x->job->spec.shape != JOB_BATCH) continue;
+            cpu -= x->job->spec.vcpus;
+            gpu -= x->job->spec.gpus;
+            mem -= x->job->spec.memory_gb;
+            cost += 1;
+        }
+        if (cpu + j->spec.vcpus > f->vcpus + 1e-6 || gpu + j->spec.gpus > f->gpus + 1e-6 || mem + j->spec.memory_gb > f->memory_gb + 1e-6)
+            continue;
+        if (!g_hash_table_contains(m->images, j->spec.image)) cost += 100;
+        if (!best || cost < best_cost) {
+            best = m;
+            best_cost = cost;
+        }
+    }
+    if (!best) return false;
+    f = best->flavour;
+    double quick = settings_within(cfg, AIM_WAIT, j->spec.jobclass, 60);
+    /* The youngest first: they lose least. */
+    for (guint b = best->bookings->len; b-- > 0;) {
+        struct booking *x = best->bookings->pdata[b];
+        if (placement_fits(best, &j->spec)) break;
+        if (x->over || x->stop || x->job->spec.rank >= j->spec.rank || x->job->spec.shape != JOB_BATCH) continue;
+        x->stop = true;
+        x->grace_s = x->job->spec.checkpoint_s > 0 && x->job->spec.flush_s + 1 < quick ? x->job->spec.flush_s + 1 : 0;
+        take(best, &x->job->spec, -1);
+        log_info("task %s/%d on machine %s makes way for %s", x->job->spec.uid, x->task, best->id, j->spec.uid);
+    }
+    take(best, &j->spec, 1); /* kept free for the rest of this round */
+    best->kick = true;
+    return true;
+}
+
+/* Whether a fetch would make the job miss the wait that its users accept. */
+static bool fetch_too_slow(const struct job *j, const struct machine *m) {
+    return !g_hash_table_contains(m->images, j->spec.image) && m->flavour &&
+           j->spec.pull_gb / MAX(m->flavour->fetch_rate, 1e-3) > settings_within(cfg, AIM_WAIT, j->spec.jobclass, 1e9);
+}
+
 static void plan_jobs(struct round *r, int k) {
     GArray *order = rank_jobs(k);
     GPtrArray *mine = g_ptr_array_new();
@@ -438,7 +494,14 @@
         if (base_since(j->retry_at) < 0) continue;
         if (j->spec.shape == JOB_GROUP) {
             if (j->bookings->len == 0) {
-                if (j->n_pend < j->spec.tasks && !plan_gang(r, j, mine, &rules, u)) j->hungry = true;
+                if (j->n_pend < j->spec.tasks && !plan_gang(r, j, mine, &rules, u)) {
+                    j->hungry = true;
+                    if (j->spec.rank > RANK_IDLE && base_since(j->preempted) > 3) {
+                        bool any = false;
+                        for (int t = 0; t < j->spec.tasks; t++) any |= preempt_for(j, mine, u);
+                        if (any) j->preempted = base_now();
+                    }
+                }
             } else if (j->bookings->len < (guint)j->spec.tasks) {
                 /* A part of it is gone, or never got booked: the rest makes way for a new attempt. */
                 for (guint b = 0; b < j->bookings->len; b++) {
@@ -461,6 +524,14 @@
                 if (jobs_bit(j->pend, t) || booked_task(j, t) || planned_task(r->plans, j, t)) continue;
                 if (!quota_left(&u[j->spec.team], &j->spec, 1)) break;
                 struct machine *m = placement_pick(mine, j, NULL, &rules, r->plans);
+                if ((!m || fetch_too_slow(j, m)) && j->spec.rank > RANK_IDLE && base_since(j->preempted) > 3) {
+                    bool any = false;
+                    for (int w = 0; w < left; w++) any |= preempt_for(j, mine, u);
+                    if (any) {
+                        j->preempted = base_now();
+                        break;
+                    }
+                }
                 if (!m) {
                     j->hungry = true;
                     break;
@@ -656,7 +727,7 @@
         store_answer_clear(&a);
         if (rc != STORE_OK) break;
     }
-    if (r.txns->len) workers_kick();
+    workers_kick();
     g_array_free(r.plans, TRUE);
     g_ptr_array_free(r.txns, TRUE);
     return again || r.more;
@@ -711,14 +782,15 @@
     }
 }
 
-static void run_ledger(int k) {
+/* One ledger for each kind: headroom on cheap machines is none for work that may not use them. */
+static void run_ledger(int k, bool spot) {
     struct machine *reception = reception_of(k), *least = NULL;
     double occupied = 0, least_occ = 0;
     int n = 0;
     bool draining = false, rows = true;
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (m->share != k || !pool_mine(m) || !m->up || m->returning || m->want_return || m->dead) continue;
+        if (m->share != k || m->spot != spot || !pool_mine(m) || !m->up || m->returning || m->want_return || m->dead) continue;
         double occ = placement_occupancy(m, (int)cfg->tuning.window);
         occupied += occ;
         draining |= m->draining;
@@ -732,11 +804,11 @@
             least_occ = occ;
         }
     }
-    double h = placement_headroom(n, occupied, cfg->tuning.reception, cfg->tuning.admission);
-    if (!rows || draining || !least || states[k].fit_nowhere || n < 2 || h <= cfg->tuning.margin * cfg->tuning.admission) return;
+    double h = placement_headroom(n, occupied, spot ? cfg->tuning.admission : cfg->tuning.reception, cfg->tuning.admission);
+    if (!rows || draining || !least || states[k].fit_nowhere || h <= cfg->tuning.margin * cfg->tuning.admission) return;
     least->draining = true;
     least->drain_since = base_now();
-    log_info("machine %s: draining (share %d, N %d, O %.2f, H %.2f)", least->id, k, n, occupied, h);
+    log_info("machine %s: draining (share %d, %s, N %d, O %.2f, H %.2f)", least->id, k, spot ? "spot" : "ordinary", n, occupied, h);
 }
 
 /* The periodic line of a share: what waits, what there is, what is left. */
@@ -781,7 +853,8 @@
             for (int k = 0; k < cfg->size; k++)
                 if (membership_mine(k) && membership_verified()) {
                     watch_machines(k);
-                    run_ledger(k);
+                    run_ledger(k, false);
+                    run_ledger(k, true);
                 }
             if (base_since(told) > 10) {
                 told = base_now();
@@ -805,8 +878,8 @@
 }
 
 /* The cheapest type that fits, its kind, and a zone that has not just refused. */
-static bool choose(const struct job *j, const char *site, struct rent_order *o) {
-    for (int spot = j->spec.reclaimable ? 1 : 0; spot >= 0; spot--) {
+static bool choose(const struct job *j, const char *site, bool dear, struct rent_order *o) {
+    for (int spot = j->spec.reclaimable ? 1 : 0; spot >= (j->spec.reclaimable && !dear ? 1 : 0); spot--) {
         double best = 0;
         bool found = false;
         for (int i = 0; i < cloud_flavours_count(); i++) {
@@ -866,12 +939,19 @@
 static void rent_for_share(int k, struct rent_order *out, int most, int *n) {
     GArray *vms = g_array_new(FALSE, FALSE, sizeof(struct virtual_machine));
     int have = 0, fresh = 0, steady = 0;
+    double backlog = 0, slots = 0; /* work that waits, and GPUs that work it off */
     bool roomy = false, booting = false;
     struct machine *reception = reception_of(k);
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
         if (m->share != k || m->returning || m->want_return || m->dead) continue;
         have++;
+        const struct flavour_info *f = cloud_flavour(m->sku);
+        if (f && m->spot) slots += f->gpus;
+        for (guint b = 0; !m->spot && b < m->bookings->len; b++) {
+            const struct job_spec *s = &((struct booking *)m->bookings->pdata[b])->job->spec;
+            if (s->reclaimable) slots += s->gpus;
+        }
         if (!m->up) {
             vm_add(vms, m->sku, m->site, m->spot);
             booting = true;
@@ -892,6 +972,8 @@
     }
     guint first_new = vms->len;
     GArray *order = rank_jobs(k);
+    /* Work that may use cheap machines gets dear ones only for what the present ones can't work off in a part of
+     * the time in which its users want it done. */
     int cap = (int)cfg->tuning.machines_per_share;
     for (guint i = 0; i < order->len; i++) {
         struct job *j = g_array_index(order, struct ranked, i).j;
@@ -914,6 +996,11 @@
                         here += strcmp(((struct booking *)j->bookings->pdata[b])->m->site, cfg->zones[z]) == 0;
                     if (here < (j->spec.tasks + 1) / 2 && j->bookings->len && here == 0) want = cfg->zones[z];
                 }
+            bool dear = !j->spec.reclaimable;
+            if (!dear) {
+                backlog += MAX(j->spec.runtime_s, 1) * j->spec.gpus;
+                dear = slots > 0 && backlog / slots > settings_within(cfg, AIM_FINISHED, j->spec.jobclass, 120) * 1.5;
+            }
             bool taken = false;
             for (guint y = 0; y < vms->len && !taken; y++) {
                 struct virtual_machine *vm = &g_array_index(vms, struct virtual_machine, y);
@@ -922,9 +1009,10 @@
             }
             struct rent_order o;
             memset(&o, 0, sizeof o);
-            if (!taken && have + fresh < cap && choose(j, want, &o)) {
+            if (!taken && have + fresh < cap && choose(j, want, dear, &o)) {
                 vm_add(vms, o.sku, o.site, o.spot);
                 fresh++;
+                if (j->spec.reclaimable && cloud_flavour(o.sku)) slots += cloud_flavour(o.sku)->gpus;
                 vm_takes(&g_array_index(vms, struct virtual_machine, vms->len - 1), j, want);
                 if (j->spec.together && !site[0]) g_strlcpy(site, o.site, sizeof site);
             }
@@ -941,7 +1029,7 @@
         }
         struct rent_order o;
         memset(&o, 0, sizeof o);
-        if (like && (!lone || occ > cfg->tuning.reception) && choose(like, NULL, &o)) vm_add(vms, o.sku, o.site, o.spot);
+        if (like && (!lone || occ > cfg->tuning.reception) && choose(like, NULL, true, &o)) vm_add(vms, o.sku, o.site, o.spot);
     }
     for (guint y = first_new; y < vms->len; y++) {
         struct rent_order *o = &g_array_index(vms, struct virtual_machine, y).o;
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -116,6 +116,15 @@
                 s->zones[s->n_zones++] = g_strdup(x->valuestring);
         }
     read_teams(&r, cJSON_GetObjectItemCaseSensitive(p, "teams"), s);
+    /* Aims of kinds not known here are passed over: new ones may be added. */
+    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(p, "objectives")) {
+        static const char *const kinds[] = {"wait", "finished", "guarantee"};
+        const char *kind = base_str(x, "kind"), *cls = base_str(x, "class");
+        for (int i = 0; i < 3 && kind; i++)
+            if (strcmp(kind, kinds[i]) == 0 && s->n_objectives < SETTINGS_OBJECTIVES)
+                s->objectives[s->n_objectives++] = (struct settings_objective){(enum settings_aim)i, g_strdup(cls ? cls : ""),
+                                                                               base_num(x, "within_s", 60), base_num(x, "share", 1)};
+    }
     const cJSON *w = cJSON_GetObjectItemCaseSensitive(p, "workers");
     s->report = base_span(need_num(&r, w, "settings.workers.", "report_s", 0.01, 3600));
     s->lease = base_span(need_num(&r, w, "settings.workers.", "lease_s", 0.1, 86400));
@@ -212,6 +221,16 @@
     return -1;
 }
 
+double settings_within(const struct settings *s, enum settings_aim kind, const char *jobclass, double otherwise) {
+    double best = -1;
+    for (int i = 0; i < s->n_objectives; i++) {
+        const struct settings_objective *o = &s->objectives[i];
+        if (o->kind != kind || (o->jobclass[0] && strcmp(o->jobclass, jobclass ? jobclass : "") != 0)) continue;
+        if (best < 0 || o->within_s < best) best = o->within_s;
+    }
+    return best < 0 ? otherwise : best;
+}
+
 void settings_clear(struct settings *s) {
     char **own[] = {&s->node, &s->area, &s->bind, &s->cluster_listen, &s->cloud, &s->state};
     for (size_t i = 0; i < G_N_ELEMENTS(own); i++) g_free(*own[i]);
@@ -220,6 +239,7 @@
         g_free(s->seeds[i].area);
         g_free(s->seeds[i].address);
     }
+    for (int i = 0; i < s->n_objectives; i++) g_free(s->objectives[i].jobclass);
     for (int i = 0; i < s->n_zones; i++) g_free(s->zones[i]);
     for (int i = 0; i < s->n_teams; i++) g_free(s->teams[i].name);
     memset(s, 0, sizeof *s);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -7,6 +7,7 @@
 #define SETTINGS_TEAMS 256
 #define SETTINGS_SEEDS 16
 #define SETTINGS_ZONES 32
+#define SETTINGS_OBJECTIVES 64
 
 struct settings_team {
     char *name;
@@ -16,6 +17,13 @@
     char *node, *area, *address;
 };
 
+enum settings_aim { AIM_WAIT, AIM_FINISHED, AIM_GUARANTEE };
+struct settings_objective {
+    enum settings_aim kind;
+    char *jobclass; /* empty: all */
+    double within_s, share;
+};
+
 /* Operators' settings; the design's values are the defaults. */
 struct settings_tuning {
     double reception, admission, margin;
@@ -33,6 +41,8 @@
     int n_zones;
     struct settings_team teams[SETTINGS_TEAMS];
     int n_teams;
+    struct settings_objective objectives[SETTINGS_OBJECTIVES];
+    int n_objectives;
     struct timespec report, lease, gang_wait, gang_peer, cancel;
     double state_rps, state_write_rps, value_kb;
     int txn_ops;
@@ -47,5 +57,7 @@
 bool settings_parse(const char *json, const char *name, struct settings *out, char *err, size_t errlen);
 bool settings_parse_tuning(const char *hcl, const char *name, struct settings_tuning *out, char *err, size_t errlen);
 void settings_clear(struct settings *s);
+/* The shortest time that an aim of this kind names for the class; otherwise, where none does. */
+double settings_within(const struct settings *s, enum settings_aim kind, const char *jobclass, double otherwise);
 int settings_team(const struct settings *s, const char *name);
 #endif
