--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -315,22 +315,46 @@
 struct ranked {
     struct job *j;
     bool within;
+    double due; /* time of day */
 };
 
+/* When the job is due: the first of the times named by its class's aims that it can still keep; past the last, twice
+ * that, and so on. In an overload work that can't be in time any more steps back behind work that can, instead of
+ * making all late one after the other; it comes first again when its next time draws near. */
+static double due_of(const struct job *j, double now) {
+    double age = now - j->submitted, last = 0;
+    for (double after = 0;;) {
+        double next = -1;
+        for (int i = 0; i < cfg->n_objectives; i++) {
+            const struct settings_objective *o = &cfg->objectives[i];
+            if (o->kind == AIM_FINISHED && strcmp(o->jobclass, j->spec.jobclass) == 0 && o->within_s > after && (next < 0 || o->within_s < next))
+                next = o->within_s;
+        }
+        if (next < 0) break;
+        if (age + j->spec.runtime_s <= next) return j->submitted + next;
+        after = last = next;
+    }
+    if (last <= 0) return j->submitted + settings_within(cfg, AIM_WAIT, j->spec.jobclass, 0);
+    double d = last * 2;
+    while (age + j->spec.runtime_s > d) d *= 2;
+    return j->submitted + d;
+}
+
 static int rank_order(gconstpointer a, gconstpointer b) {
     const struct ranked *x = a, *y = b;
     if (x->within != y->within) return x->within ? -1 : 1;
     if (x->j->spec.rank != y->j->spec.rank) return x->j->spec.rank > y->j->spec.rank ? -1 : 1;
-    if (x->j->submitted != y->j->submitted) return x->j->submitted < y->j->submitted ? -1 : 1;
+    if (x->due != y->due) return x->due < y->due ? -1 : 1;
     return strcmp(x->j->spec.uid, y->j->spec.uid);
 }
 
 static bool has_guarantee(const struct settings_team *t) { return t->cpus > 0 || t->gpus > 0; }
 
-/* The share's unfinished jobs: those within a guarantee first, then by rank, then by age. */
+/* The share's unfinished jobs: those within a guarantee first, then by rank, then by when they are due. */
 static GArray *rank_jobs(int k) {
     GArray *out = g_array_new(FALSE, FALSE, sizeof(struct ranked));
     double cpu[SETTINGS_TEAMS] = {0}, gpu[SETTINGS_TEAMS] = {0};
+    double now = time_of_day();
     GPtrArray *jobs = jobs_active();
     for (guint i = 0; i < jobs->len; i++) {
         struct job *j = jobs->pdata[i];
@@ -340,7 +364,8 @@
         cpu[j->spec.team] += left * j->spec.vcpus;
         gpu[j->spec.team] += left * j->spec.gpus;
         struct ranked r = {j, has_guarantee(t) && (t->cpus <= 0 || cpu[j->spec.team] <= t->cpus + 1e-6) &&
-                                  (t->gpus <= 0 || gpu[j->spec.team] <= t->gpus + 1e-6)};
+                                  (t->gpus <= 0 || gpu[j->spec.team] <= t->gpus + 1e-6),
+                           due_of(j, now)};
         g_array_append_val(out, r);
     }
     g_array_sort(out, rank_order);
@@ -999,7 +1024,7 @@
             bool dear = !j->spec.reclaimable;
             if (!dear) {
                 backlog += MAX(j->spec.runtime_s, 1) * j->spec.gpus;
-                dear = slots > 0 && backlog / slots > settings_within(cfg, AIM_FINISHED, j->spec.jobclass, 120) * 1.5;
+                dear = slots > 0 && backlog / slots > settings_within(cfg, AIM_FINISHED, j->spec.jobclass, 120);
             }
             bool taken = false;
             for (guint y = 0; y < vms->len && !taken; y++) {
