--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -110,14 +110,17 @@
         m->strays = g_array_new(FALSE, FALSE, sizeof(struct stray));
         m->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
         m->warning = -1;
-        m->share = -1;
+        m->share = m->pass_to = -1;
         g_hash_table_insert(by_id, m->id, m);
         g_ptr_array_add(machines, m);
     }
     int64_t share = 0;
     base_int(data, "share", &share);
     if (share >= cfg->size) share = 0;
-    if (m->share != (int)share) m->owned_fence = 0;
+    if (m->share != (int)share) {
+        m->owned_fence = 0;
+        m->pass_to = -1;
+    }
     m->share = (int)share;
     if (!base_int(data, "fence", &m->fence)) m->fence = 0;
     const char *v;
@@ -146,8 +149,13 @@
         }
         g_ptr_array_add(keep, b);
     }
-    for (guint i = 0; i < m->bookings->len; i++)
-        if (!g_ptr_array_find(keep, m->bookings->pdata[i], NULL)) booking_free(m->bookings->pdata[i]);
+    for (guint i = 0; i < m->bookings->len; i++) {
+        struct booking *b = m->bookings->pdata[i];
+        if (g_ptr_array_find(keep, b, NULL)) continue;
+        /* Who may take the machine over some day knows its images from this. */
+        if (b->job->spec.image && base_since(b->booked) > 20) g_hash_table_add(m->images, g_strdup(b->job->spec.image));
+        booking_free(b);
+    }
     g_ptr_array_free(m->bookings, TRUE);
     m->bookings = keep;
     if (keep->len) m->had_task = true;
@@ -160,6 +168,7 @@
     m->owned_fence = f;
     m->heard = m->mine_since = base_now();
     m->unknown = m->need_raise = m->draining = m->want_return = m->dead = false;
+    m->pass_to = -1;
     m->seen_fence = 0;
     m->up = m->bookings->len > 0;
     m->rows = 0;
@@ -234,9 +243,9 @@
     pool_kick();
 }
 
-static cJSON *machine_value(const struct machine *m, int64_t fence, bool returning) {
+static cJSON *machine_value(const struct machine *m, int share, int64_t fence, bool returning) {
     cJSON *o = cJSON_CreateObject();
-    cJSON_AddNumberToObject(o, "share", m->share);
+    cJSON_AddNumberToObject(o, "share", share);
     cJSON_AddNumberToObject(o, "fence", (double)fence);
     cJSON_AddStringToObject(o, "address", m->address);
     cJSON_AddStringToObject(o, "flavour", m->sku);
@@ -306,8 +315,8 @@
             m->used_mem += x->job->spec.memory_gb;
         }
         double quiet = base_secs(cfg->report) * 2 + 1;
-        m->open = m->up && m->flavour && !m->returning && !m->want_return && !m->dead && !m->draining && m->warning < 0 &&
-                  !m->need_raise && !m->unknown && m->seen_fence >= pool_token(m) && base_since(m->heard) < quiet &&
+        m->open = m->up && m->flavour && !m->returning && !m->want_return && !m->dead && !m->draining && m->pass_to < 0 &&
+                  m->warning < 0 && !m->need_raise && !m->unknown && m->seen_fence >= pool_token(m) && base_since(m->heard) < quiet &&
                   m->bookings->len < (guint)(cfg->value_kb * 1024 / 64) - 6;
     }
 }
@@ -573,12 +582,12 @@
 }
 
 /* Writes one machine's record: released bookings out, planned ones in. */
-static void write_machine(struct round *r, struct machine *m, int64_t fence, int fence_writes) {
+static void write_machine(struct round *r, struct machine *m, int share, int64_t fence, int fence_writes) {
     char key[96];
     guint adds = 0;
     for (guint i = 0; i < r->plans->len; i++) adds += g_array_index(r->plans, struct placement_plan, i).m == m;
     struct store_txn *t = round_txn(r, 1 + fence_writes, (int)adds + 3);
-    cJSON *o = machine_value(m, fence, m->returning || m->want_return), *list = cJSON_AddArrayToObject(o, "b");
+    cJSON *o = machine_value(m, share, fence, m->returning || m->want_return), *list = cJSON_AddArrayToObject(o, "b");
     for (guint i = 0; i < m->bookings->len; i++) {
         struct booking *b = m->bookings->pdata[i];
         if (!b->over) cJSON_AddItemToArray(list, booking_value(b->job->spec.uid, b->task, b->attempt));
@@ -620,7 +629,138 @@
         snprintf(key, sizeof key, "machine/%s", c->id);
         struct store_txn *t = round_txn(r, 1, 1);
         store_txn_if(t, key, 0);
-        store_txn_set(t, key, machine_value(&m, 0, false), 0);
+        store_txn_set(t, key, machine_value(&m, k, 0, false), 0);
+    }
+}
+
+static bool may_use(const struct job_spec *j, const struct flavour_info *f) {
+    return (!j->flavours || g_strv_contains((const char *const *)j->flavours, f->sku)) && j->vcpus <= f->vcpus + 1e-6 &&
+           j->gpus <= f->gpus + 1e-6 && j->memory_gb <= f->memory_gb + 1e-6;
+}
+
+struct virtual_machine {
+    struct rent_order o;
+    double cpu, gpu, mem; /* left */
+    bool foreign;         /* another share's, for work that needs it only */
+};
+
+static bool vm_takes(struct virtual_machine *v, const struct job *j, const char *site) {
+    const struct job_spec *s = &j->spec;
+    if ((v->o.spot && !s->reclaimable) || (v->foreign && s->reclaimable)) return false;
+    if ((site && strcmp(site, v->o.site) != 0) || (s->site && strcmp(s->site, v->o.site) != 0)) return false;
+    if (s->flavours && !g_strv_contains((const char *const *)s->flavours, v->o.sku)) return false;
+    if (s->vcpus > v->cpu + 1e-6 || s->gpus > v->gpu + 1e-6 || s->memory_gb > v->mem + 1e-6) return false;
+    v->cpu -= s->vcpus;
+    v->gpu -= s->gpus;
+    v->mem -= s->memory_gb;
+    return true;
+}
+
+static void vm_add(GArray *vms, const char *sku, const char *site, bool spot) {
+    const struct flavour_info *f = cloud_flavour(sku);
+    if (!f) return;
+    struct virtual_machine v = {{"", "", spot, 0, 0}, f->vcpus, f->gpus, f->memory_gb, false};
+    g_strlcpy(v.o.sku, sku, sizeof v.o.sku);
+    g_strlcpy(v.o.site, site, sizeof v.o.site);
+    g_array_append_val(vms, v);
+}
+
+/* ---- machines that pass from share to share ---- */
+
+/* An ordinary machine whose tasks would all make way. Its share keeps at least one other. */
+static bool passable(const struct machine *m) {
+    if (m->spot || m->returning || m->want_return || m->dead || m->warning >= 0 || !m->address[0]) return false;
+    for (guint b = 0; b < m->bookings->len; b++) {
+        const struct job_spec *s = &((struct booking *)m->bookings->pdata[b])->job->spec;
+        if (!s->reclaimable || s->shape != JOB_BATCH) return false;
+    }
+    int others = 0;
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *x = machines->pdata[i];
+        others += x != m && x->share == m->share && !x->spot && !x->returning && x->address[0];
+    }
+    return others > 0;
+}
+
+static bool may_pass_now(struct machine *m) {
+    return m->pass_to >= 0 && m->bookings->len == 0 && !m->unknown && !m->sending && !m->need_raise && !m->want_return;
+}
+
+/* The first job of another share that waits for a machine none of its own can give: every controller mirrors all
+ * records, so that the donor sees it without being asked. */
+static struct job *needy_job(int s) {
+    GArray *vms = g_array_new(FALSE, FALSE, sizeof(struct virtual_machine));
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if ((m->share != s && m->pass_to != s) || m->returning || m->spot) continue;
+        guint before = vms->len;
+        vm_add(vms, m->sku, m->site, m->spot);
+        if (vms->len == before) continue;
+        struct virtual_machine *v = &g_array_index(vms, struct virtual_machine, before);
+        for (guint b = 0; b < m->bookings->len && m->share == s; b++) {
+            const struct job_spec *x = &((struct booking *)m->bookings->pdata[b])->job->spec;
+            v->cpu -= x->vcpus;
+            v->gpu -= x->gpus;
+            v->mem -= x->memory_gb;
+        }
+    }
+    struct job *found = NULL;
+    GPtrArray *jobs = jobs_active();
+    for (guint i = 0; i < jobs->len && !found; i++) {
+        struct job *j = jobs->pdata[i];
+        if (jobs_share(j) != s || j->spec.reclaimable || j->spec.team < 0 || base_since(j->seen) < 0.4) continue;
+        const struct settings_team *t = &cfg->teams[j->spec.team];
+        double gpus = 0;
+        for (guint x = 0; x < jobs->len; x++) {
+            struct job *o = jobs->pdata[x];
+            if (o->spec.team == j->spec.team) gpus += o->bookings->len * o->spec.gpus;
+        }
+        int left = j->spec.tasks - j->n_done - (int)j->bookings->len;
+        if (left <= 0 || (t->gpus_max > 0 && gpus + left * j->spec.gpus > t->gpus_max)) continue;
+        const char *site = j->spec.together && j->bookings->len ? ((struct booking *)j->bookings->pdata[0])->m->site : NULL;
+        for (int n = 0; n < left && !found; n++) {
+            bool taken = false;
+            for (guint y = 0; y < vms->len && !taken; y++) taken = vm_takes(&g_array_index(vms, struct virtual_machine, y), j, site);
+            if (!taken) found = j;
+        }
+    }
+    g_array_free(vms, TRUE);
+    return found;
+}
+
+static void plan_passing(int k) {
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->share == k && m->pass_to >= 0 && base_since(m->pass_since) > 12) m->pass_to = -1;
+    }
+    for (int s = 0; s < cfg->size; s++) {
+        if (s == k) continue;
+        struct job *j = needy_job(s);
+        if (!j) continue;
+        struct machine *best = NULL, *reception = reception_of(k);
+        double best_cost = 0;
+        for (guint i = 0; i < machines->len; i++) {
+            struct machine *m = machines->pdata[i];
+            if (m->share != k || m == reception || m->pass_to >= 0 || !m->up || !pool_mine(m) || !passable(m) || !m->flavour) continue;
+            if (base_since(m->heard) > base_secs(cfg->report) * 2 + 1 || !may_use(&j->spec, m->flavour)) continue;
+            if (!placement_allowed(m, j, j->spec.together && j->bookings->len ? ((struct booking *)j->bookings->pdata[0])->m->site : NULL, NULL))
+                continue;
+            double cost = m->bookings->len + (g_hash_table_contains(m->images, j->spec.image) ? 0 : 3);
+            if (best && cost >= best_cost) continue;
+            best = m;
+            best_cost = cost;
+        }
+        if (!best) continue;
+        best->pass_to = s;
+        best->pass_since = base_now();
+        log_info("machine %s: passing it from share %d to share %d for %s", best->id, k, s, j->spec.uid);
+        for (guint b = 0; b < best->bookings->len; b++) {
+            struct booking *x = best->bookings->pdata[b];
+            if (x->stop) continue;
+            x->stop = true;
+            x->grace_s = x->job->spec.checkpoint_s > 0 ? x->job->spec.flush_s + 1 : 0;
+            best->kick = true;
+        }
     }
 }
 
@@ -635,6 +775,7 @@
     }
     add_newcomers(r, k);
     plan_jobs(r, k);
+    plan_passing(k);
     bool raised = false;
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
@@ -648,12 +789,12 @@
             continue;
         }
         int64_t fence = m->fence;
-        bool raise = m->need_raise && !raised;
+        bool pass = may_pass_now(m) && !raised, raise = pass || (m->need_raise && !raised);
         if (raise) {
             fence = membership_fence() + 1;
             raised = true;
         }
-        if (m->touched || raise || (m->want_return && !m->returning)) write_machine(r, m, fence, raise ? 1 : 0);
+        if (m->touched || raise || (m->want_return && !m->returning)) write_machine(r, m, pass ? m->pass_to : k, fence, raise ? 1 : 0);
     }
 }
 
@@ -897,11 +1038,6 @@
 
 /* ---- renting and returning ---- */
 
-static bool may_use(const struct job_spec *j, const struct flavour_info *f) {
-    return (!j->flavours || g_strv_contains((const char *const *)j->flavours, f->sku)) && j->vcpus <= f->vcpus + 1e-6 &&
-           j->gpus <= f->gpus + 1e-6 && j->memory_gb <= f->memory_gb + 1e-6;
-}
-
 /* The cheapest type that fits, its kind, and a zone that has not just refused. */
 static bool choose(const struct job *j, const char *site, bool dear, struct rent_order *o) {
     for (int spot = j->spec.reclaimable ? 1 : 0; spot >= (j->spec.reclaimable && !dear ? 1 : 0); spot--) {
@@ -935,32 +1071,6 @@
     return false;
 }
 
-struct virtual_machine {
-    struct rent_order o;
-    double cpu, gpu, mem; /* left */
-};
-
-static bool vm_takes(struct virtual_machine *v, const struct job *j, const char *site) {
-    const struct job_spec *s = &j->spec;
-    if (v->o.spot && !s->reclaimable) return false;
-    if ((site && strcmp(site, v->o.site) != 0) || (s->site && strcmp(s->site, v->o.site) != 0)) return false;
-    if (s->flavours && !g_strv_contains((const char *const *)s->flavours, v->o.sku)) return false;
-    if (s->vcpus > v->cpu + 1e-6 || s->gpus > v->gpu + 1e-6 || s->memory_gb > v->mem + 1e-6) return false;
-    v->cpu -= s->vcpus;
-    v->gpu -= s->gpus;
-    v->mem -= s->memory_gb;
-    return true;
-}
-
-static void vm_add(GArray *vms, const char *sku, const char *site, bool spot) {
-    const struct flavour_info *f = cloud_flavour(sku);
-    if (!f) return;
-    struct virtual_machine v = {{"", "", spot, 0, 0}, f->vcpus, f->gpus, f->memory_gb};
-    g_strlcpy(v.o.sku, sku, sizeof v.o.sku);
-    g_strlcpy(v.o.site, site, sizeof v.o.site);
-    g_array_append_val(vms, v);
-}
-
 static void rent_for_share(int k, struct rent_order *out, int most, int *n) {
     GArray *vms = g_array_new(FALSE, FALSE, sizeof(struct virtual_machine));
     int have = 0, fresh = 0, steady = 0;
@@ -995,8 +1105,21 @@
         have++;
         booting = true;
     }
-    guint first_new = vms->len;
     GArray *order = rank_jobs(k);
+    /* What another share is about to pass needs no rental; if it doesn't come soon, it is rented after all. */
+    double waited = 0;
+    for (guint i = 0; i < order->len; i++) {
+        struct job *j = g_array_index(order, struct ranked, i).j;
+        if (j->hungry && !j->spec.reclaimable) waited = MAX(waited, base_since(j->seen));
+    }
+    for (guint i = 0; i < machines->len && waited < 4; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->share == k || !passable(m) || m->pass_to >= 0) continue;
+        guint before = vms->len;
+        vm_add(vms, m->sku, m->site, false);
+        if (vms->len > before) g_array_index(vms, struct virtual_machine, before).foreign = true;
+    }
+    guint first_new = vms->len;
     /* Work that may use cheap machines gets dear ones only for what the present ones can't work off in a part of
      * the time in which its users want it done. */
     int cap = (int)cfg->tuning.machines_per_share;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -55,6 +55,8 @@
     GHashTable *images;
     int faults;
     bool draining, want_return, dead, had_task;
+    int pass_to; /* share that it is to pass to, -1: none */
+    struct timespec pass_since;
     struct timespec drain_since;
     /* scratch of a round */
     bool open, touched;
