--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -166,6 +166,13 @@
 
 /* ---- records ---- */
 
+static double time_of_day(void) {
+    struct timespec t;
+    clock_gettime(CLOCK_REALTIME, &t);
+    return base_secs(t);
+}
+
+
 struct job *jobs_find(const char *uid) { return g_hash_table_lookup(all, uid); }
 GPtrArray *jobs_active(void) { return active; }
 int jobs_share(const struct job *j) { return j->spec.team < 0 ? 0 : j->spec.team % cfg->size; }
@@ -222,6 +229,9 @@
     enum job_state now = state && !strcmp(state, "done") ? JOB_DONE : state && !strcmp(state, "cancelled") ? JOB_CANCELLED : JOB_QUEUED;
     if (j->state == JOB_QUEUED && now != JOB_QUEUED) {
         j->state = now;
+        if (membership_mine(jobs_share(j)))
+            log_info("job %s (%s, %d tasks, estimate %.0f s) is %s %.1f s after it came", j->spec.uid, j->spec.jobclass, j->spec.tasks,
+                     j->spec.runtime_s, state, time_of_day() - j->submitted);
         g_ptr_array_remove(active, j);
         if (now == JOB_DONE) j->n_done = j->spec.tasks;
         /* A final state is all that is asked for from now on. */
@@ -526,12 +536,6 @@
     return NULL;
 }
 
-static double time_of_day(void) {
-    struct timespec t;
-    clock_gettime(CLOCK_REALTIME, &t);
-    return base_secs(t);
-}
-
 /* Fills the transaction for one round of submissions and cancels; a job known by now needs a compare only. */
 static void accept_fill(GPtrArray *batch, struct store_txn *t) {
     char key[96];
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -686,6 +686,13 @@
     return m->pass_to >= 0 && m->bookings->len == 0 && !m->unknown && !m->sending && !m->need_raise && !m->want_return;
 }
 
+/* A spread job's part in the zone is used up. */
+static bool zone_full(const struct job *j, const char *site) {
+    int here = 0;
+    for (guint i = 0; i < j->bookings->len; i++) here += strcmp(((struct booking *)j->bookings->pdata[i])->m->site, site) == 0;
+    return j->spec.spread && here >= (j->spec.tasks + 1) / 2;
+}
+
 /* The first job of another share that waits for a machine none of its own can give: every controller mirrors all
  * records, so that the donor sees it without being asked. */
 static struct job *needy_job(int s) {
@@ -720,7 +727,10 @@
         const char *site = j->spec.together && j->bookings->len ? ((struct booking *)j->bookings->pdata[0])->m->site : NULL;
         for (int n = 0; n < left && !found; n++) {
             bool taken = false;
-            for (guint y = 0; y < vms->len && !taken; y++) taken = vm_takes(&g_array_index(vms, struct virtual_machine, y), j, site);
+            for (guint y = 0; y < vms->len && !taken; y++) {
+                struct virtual_machine *v = &g_array_index(vms, struct virtual_machine, y);
+                taken = !zone_full(j, v->o.site) && vm_takes(v, j, site);
+            }
             if (!taken) found = j;
         }
     }
@@ -974,6 +984,19 @@
     if (!rows || draining || !least || states[k].fit_nowhere || h <= cfg->tuning.margin * cfg->tuning.admission) return;
     least->draining = true;
     least->drain_since = base_now();
+    /* The paper's commanded moves, for tasks that lose nothing by them: they save, and start again on what is left. */
+    bool movable = true;
+    for (guint b = 0; b < least->bookings->len; b++) {
+        const struct job_spec *x = &((struct booking *)least->bookings->pdata[b])->job->spec;
+        movable &= x->shape == JOB_BATCH && x->checkpoint_s > 0;
+    }
+    for (guint b = 0; movable && b < least->bookings->len; b++) {
+        struct booking *x = least->bookings->pdata[b];
+        if (x->stop) continue;
+        x->stop = true;
+        x->grace_s = x->job->spec.flush_s + 2;
+        least->kick = true;
+    }
     log_info("machine %s: draining (share %d, %s, N %d, O %.2f, H %.2f)", least->id, k, spot ? "spot" : "ordinary", n, occupied, h);
 }
 
