--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -447,10 +447,32 @@
     return false;
 }
 
+/* What a team holds beyond its guarantee, in GPUs (or CPUs where only those are guaranteed). */
+static double beyond(int team) {
+    if (team < 0) return 0;
+    const struct settings_team *t = &cfg->teams[team];
+    double gpus = 0, cpus = 0;
+    GPtrArray *jobs = jobs_active();
+    for (guint i = 0; i < jobs->len; i++) {
+        struct job *j = jobs->pdata[i];
+        if (j->spec.team != team) continue;
+        gpus += j->bookings->len * j->spec.gpus;
+        cpus += j->bookings->len * j->spec.vcpus;
+    }
+    return t->gpus > 0 || t->cpus <= 0 ? gpus - t->gpus : cpus - t->cpus;
+}
+
+/* A task may be stopped for a job of higher rank, or, to give a team its guarantee, where its own team is beyond its. */
+static bool evictable(const struct booking *x, const struct job *j, bool within) {
+    if (x->over || x->stop || x->job->spec.shape != JOB_BATCH) return false;
+    if (x->job->spec.rank < j->spec.rank) return true;
+    return within && x->job->spec.team != j->spec.team && beyond(x->job->spec.team) >= MAX(x->job->spec.gpus, 1e-3);
+}
+
 /* Stops lower-ranked tasks on one machine so that a task of the job fits there; the machine that already has the
  * image comes first, then the one that loses least. The room goes to the job in the round after their release, since
  * it is ranked before them. */
-static bool preempt_for(struct job *j, GPtrArray *mine, const struct usage *u) {
+static bool preempt_for(struct job *j, bool within, GPtrArray *mine, const struct usage *u) {
     struct machine *best = NULL;
     double best_cost = 0;
     const struct flavour_info *f;
@@ -462,7 +484,7 @@
         double cpu = m->used_cpu, gpu = m->used_gpu, mem = m->used_mem, cost = 0;
         for (guint b = 0; b < m->bookings->len; b++) {
             struct booking *x = m->bookings->pdata[b];
-            if (x->over || x->stop || x->job->spec.rank >= j->spec.rank || x->job->spec.shape != JOB_BATCH) continue;
+            if (!evictable(x, j, within)) continue;
             cpu -= x->job->spec.vcpus;
             gpu -= x->job->spec.gpus;
             mem -= x->job->spec.memory_gb;
@@ -483,7 +505,7 @@
     for (guint b = best->bookings->len; b-- > 0;) {
         struct booking *x = best->bookings->pdata[b];
         if (placement_fits(best, &j->spec)) break;
-        if (x->over || x->stop || x->job->spec.rank >= j->spec.rank || x->job->spec.shape != JOB_BATCH) continue;
+        if (!evictable(x, j, within)) continue;
         x->stop = true;
         x->grace_s = x->job->spec.checkpoint_s > 0 && x->job->spec.flush_s + 1 < quick ? x->job->spec.flush_s + 1 : 0;
         take(best, &x->job->spec, -1);
@@ -520,6 +542,7 @@
     states[k].fit_nowhere = false;
     for (guint i = 0; i < order->len; i++) {
         struct job *j = g_array_index(order, struct ranked, i).j;
+        bool within = g_array_index(order, struct ranked, i).within;
         j->hungry = false;
         if (r->plans->len >= 40) {
             r->more = true;
@@ -530,9 +553,9 @@
             if (j->bookings->len == 0) {
                 if (j->n_pend < j->spec.tasks && !plan_gang(r, j, mine, &rules, u)) {
                     j->hungry = true;
-                    if (j->spec.rank > RANK_IDLE && base_since(j->preempted) > 3) {
+                    if ((within || j->spec.rank > RANK_IDLE) && base_since(j->preempted) > 3) {
                         bool any = false;
-                        for (int t = 0; t < j->spec.tasks; t++) any |= preempt_for(j, mine, u);
+                        for (int t = 0; t < j->spec.tasks; t++) any |= preempt_for(j, within, mine, u);
                         if (any) j->preempted = base_now();
                     }
                 }
@@ -558,9 +581,9 @@
                 if (jobs_bit(j->pend, t) || booked_task(j, t) || planned_task(r->plans, j, t)) continue;
                 if (!quota_left(&u[j->spec.team], &j->spec, 1)) break;
                 struct machine *m = placement_pick(mine, j, NULL, &rules, r->plans);
-                if ((!m || fetch_too_slow(j, m)) && j->spec.rank > RANK_IDLE && base_since(j->preempted) > 3) {
+                if ((!m || fetch_too_slow(j, m)) && (within || j->spec.rank > RANK_IDLE) && base_since(j->preempted) > 3) {
                     bool any = false;
-                    for (int w = 0; w < left; w++) any |= preempt_for(j, mine, u);
+                    for (int w = 0; w < left; w++) any |= preempt_for(j, within, mine, u);
                     if (any) {
                         j->preempted = base_now();
                         break;
@@ -695,11 +718,11 @@
 
 /* The first job of another share that waits for a machine none of its own can give: every controller mirrors all
  * records, so that the donor sees it without being asked. */
-static struct job *needy_job(int s) {
+static struct job *needy_job(int s, bool reclaimable, bool *within) {
     GArray *vms = g_array_new(FALSE, FALSE, sizeof(struct virtual_machine));
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if ((m->share != s && m->pass_to != s) || m->returning || m->spot) continue;
+        if ((m->share != s && m->pass_to != s) || m->returning || (m->spot && !reclaimable)) continue;
         guint before = vms->len;
         vm_add(vms, m->sku, m->site, m->spot);
         if (vms->len == before) continue;
@@ -712,18 +735,13 @@
         }
     }
     struct job *found = NULL;
-    GPtrArray *jobs = jobs_active();
-    for (guint i = 0; i < jobs->len && !found; i++) {
-        struct job *j = jobs->pdata[i];
-        if (jobs_share(j) != s || j->spec.reclaimable || j->spec.team < 0 || base_since(j->seen) < 0.4) continue;
+    GArray *order = rank_jobs(s);
+    for (guint i = 0; i < order->len && !found; i++) {
+        struct job *j = g_array_index(order, struct ranked, i).j;
+        if (j->spec.reclaimable != reclaimable || base_since(j->seen) < 0.4) continue;
         const struct settings_team *t = &cfg->teams[j->spec.team];
-        double gpus = 0;
-        for (guint x = 0; x < jobs->len; x++) {
-            struct job *o = jobs->pdata[x];
-            if (o->spec.team == j->spec.team) gpus += o->bookings->len * o->spec.gpus;
-        }
-        int left = j->spec.tasks - j->n_done - (int)j->bookings->len;
-        if (left <= 0 || (t->gpus_max > 0 && gpus + left * j->spec.gpus > t->gpus_max)) continue;
+        int left = j->spec.tasks - j->n_done - (int)j->bookings->len, tasks = j->spec.shape == JOB_BATCH ? 1 : left;
+        if (left <= 0 || (t->gpus_max > 0 && beyond(j->spec.team) + t->gpus + tasks * j->spec.gpus > t->gpus_max)) continue;
         const char *site = j->spec.together && j->bookings->len ? ((struct booking *)j->bookings->pdata[0])->m->site : NULL;
         for (int n = 0; n < left && !found; n++) {
             bool taken = false;
@@ -731,13 +749,43 @@
                 struct virtual_machine *v = &g_array_index(vms, struct virtual_machine, y);
                 taken = !zone_full(j, v->o.site) && vm_takes(v, j, site);
             }
-            if (!taken) found = j;
+            if (!taken) {
+                found = j;
+                *within = g_array_index(order, struct ranked, i).within;
+            }
         }
     }
+    g_array_free(order, TRUE);
     g_array_free(vms, TRUE);
     return found;
 }
 
+/* The machine of share K that is easiest to spare for the job: an empty one, else one whose tasks may all be stopped
+ * for it. */
+static struct machine *donation(int k, const struct job *j, bool within) {
+    struct machine *best = NULL, *reception = reception_of(k);
+    double best_cost = 0;
+    const char *site = j->spec.together && j->bookings->len ? ((struct booking *)j->bookings->pdata[0])->m->site : NULL;
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->share != k || m == reception || m->pass_to >= 0 || !m->up || !pool_mine(m) || !m->flavour) continue;
+        if (m->returning || m->want_return || m->dead || m->warning >= 0 || !m->address[0]) continue;
+        if (base_since(m->heard) > base_secs(cfg->report) * 2 + 1 || !may_use(&j->spec, m->flavour)) continue;
+        if (!placement_allowed(m, j, site, NULL)) continue;
+        /* For work that could use cheap machines a dear one goes only if it is surplus here. */
+        if (j->spec.reclaimable && !within && !m->spot && !m->draining) continue;
+        if (j->spec.reclaimable && m->bookings->len == 0 && states[k].fit_nowhere && !within) continue;
+        bool all = true;
+        for (guint b = 0; b < m->bookings->len; b++) all &= evictable(m->bookings->pdata[b], j, within);
+        if (!all) continue;
+        double cost = m->bookings->len * 2.0 + (g_hash_table_contains(m->images, j->spec.image) ? 0 : 3);
+        if (best && cost >= best_cost) continue;
+        best = m;
+        best_cost = cost;
+    }
+    return best;
+}
+
 static void plan_passing(int k) {
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
@@ -745,31 +793,23 @@
     }
     for (int s = 0; s < cfg->size; s++) {
         if (s == k) continue;
-        struct job *j = needy_job(s);
-        if (!j) continue;
-        struct machine *best = NULL, *reception = reception_of(k);
-        double best_cost = 0;
-        for (guint i = 0; i < machines->len; i++) {
-            struct machine *m = machines->pdata[i];
-            if (m->share != k || m == reception || m->pass_to >= 0 || !m->up || !pool_mine(m) || !passable(m) || !m->flavour) continue;
-            if (base_since(m->heard) > base_secs(cfg->report) * 2 + 1 || !may_use(&j->spec, m->flavour)) continue;
-            if (!placement_allowed(m, j, j->spec.together && j->bookings->len ? ((struct booking *)j->bookings->pdata[0])->m->site : NULL, NULL))
-                continue;
-            double cost = m->bookings->len + (g_hash_table_contains(m->images, j->spec.image) ? 0 : 3);
-            if (best && cost >= best_cost) continue;
-            best = m;
-            best_cost = cost;
+        struct machine *m = NULL;
+        struct job *j = NULL;
+        for (int reclaimable = 0; reclaimable < 2 && !m; reclaimable++) {
+            bool within = false;
+            j = needy_job(s, reclaimable, &within);
+            if (j) m = donation(k, j, within);
         }
-        if (!best) continue;
-        best->pass_to = s;
-        best->pass_since = base_now();
-        log_info("machine %s: passing it from share %d to share %d for %s", best->id, k, s, j->spec.uid);
-        for (guint b = 0; b < best->bookings->len; b++) {
-            struct booking *x = best->bookings->pdata[b];
+        if (!m) continue;
+        m->pass_to = s;
+        m->pass_since = base_now();
+        log_info("machine %s: passing it from share %d to share %d for %s", m->id, k, s, j->spec.uid);
+        for (guint b = 0; b < m->bookings->len; b++) {
+            struct booking *x = m->bookings->pdata[b];
             if (x->stop) continue;
             x->stop = true;
             x->grace_s = x->job->spec.checkpoint_s > 0 ? x->job->spec.flush_s + 1 : 0;
-            best->kick = true;
+            m->kick = true;
         }
     }
 }
@@ -1170,7 +1210,8 @@
             bool dear = !j->spec.reclaimable;
             if (!dear) {
                 backlog += MAX(j->spec.runtime_s, 1) * j->spec.gpus;
-                dear = slots > 0 && backlog / slots > settings_within(cfg, AIM_FINISHED, j->spec.jobclass, 120);
+                dear = g_array_index(order, struct ranked, i).within ||
+                       (slots > 0 && backlog / slots > cfg->tuning.dear_backlog * settings_within(cfg, AIM_FINISHED, j->spec.jobclass, 120));
             }
             bool taken = false;
             for (guint y = 0; y < vms->len && !taken; y++) {
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -17,6 +17,7 @@
     .node_lease = {4, 0},
     .watch_gap = {0, 80000000},
     .machines_per_share = 60,
+    .dear_backlog = 1,
 };
 
 struct reader {
@@ -159,6 +160,7 @@
     KNOB(reception, 0, 1, false),       KNOB(admission, 0.05, 1.01, false), KNOB(margin, 0.5, 20, false),
     KNOB(window, 1, 60, false),         KNOB(drain_reopen, 5, 3600, true),  KNOB(silent_return, 2, 3600, true),
     KNOB(node_lease, 1, 60, true),      KNOB(watch_gap, 0, 5, true),        KNOB(machines_per_share, 1, 10000, false),
+    KNOB(dear_backlog, 0, 100, false),
 };
 
 /* HCL's `name = value` lines, read by libconfig: no HCL reader is packaged for C, and this is its nearest kin. */
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -30,6 +30,7 @@
     double window;
     struct timespec drain_reopen, silent_return, node_lease, watch_gap;
     double machines_per_share;
+    double dear_backlog; /* part of the wanted time that cheap work's backlog may last before dear machines help */
 };
 
 struct settings {
