--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -462,11 +462,14 @@
     return t->gpus > 0 || t->cpus <= 0 ? gpus - t->gpus : cpus - t->cpus;
 }
 
-/* A task may be stopped for a job of higher rank, or, to give a team its guarantee, where its own team is beyond its. */
+/* A task may be stopped for a job of higher rank, or, to give a team its guarantee, where its own team is beyond its.
+ * The claim holds only while the claiming team is below its guarantee and the other stays at or above: two teams that
+ * each had some work beyond once stopped one another's tasks for minutes. */
 static bool evictable(const struct booking *x, const struct job *j, bool within) {
     if (x->over || x->stop || x->job->spec.shape != JOB_BATCH) return false;
     if (x->job->spec.rank < j->spec.rank) return true;
-    return within && x->job->spec.team != j->spec.team && beyond(x->job->spec.team) >= MAX(x->job->spec.gpus, 1e-3);
+    return within && x->job->spec.team != j->spec.team && beyond(j->spec.team) + j->spec.gpus <= 1e-6 &&
+           beyond(x->job->spec.team) >= MAX(x->job->spec.gpus, 1e-3);
 }
 
 /* Stops lower-ranked tasks on one machine so that a task of the job fits there; the machine that already has the
@@ -766,9 +769,15 @@
     struct machine *best = NULL, *reception = reception_of(k);
     double best_cost = 0;
     const char *site = j->spec.together && j->bookings->len ? ((struct booking *)j->bookings->pdata[0])->m->site : NULL;
+    /* What waits here comes first, unless the other's job goes before it. */
+    GPtrArray *jobs = jobs_active();
+    for (guint i = 0; i < jobs->len; i++) {
+        struct job *o = jobs->pdata[i];
+        if (jobs_share(o) == k && o->hungry && o->spec.rank >= j->spec.rank) return NULL;
+    }
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (m->share != k || m == reception || m->pass_to >= 0 || !m->up || !pool_mine(m) || !m->flavour) continue;
+        if (m->share != k || m == reception || base_since(m->mine_since) < 5 || m->pass_to >= 0 || !m->up || !pool_mine(m) || !m->flavour) continue;
         if (m->returning || m->want_return || m->dead || m->warning >= 0 || !m->address[0]) continue;
         if (base_since(m->heard) > base_secs(cfg->report) * 2 + 1 || !may_use(&j->spec, m->flavour)) continue;
         if (!placement_allowed(m, j, site, NULL)) continue;
