--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -63,6 +63,8 @@
         /* Reception first under its threshold, then the least occupied under the admission threshold. */
         double score = reception && m->occupancy < r->reception ? 3 : m->occupancy < r->admission ? 2 - m->occupancy : 0.5 - m->occupancy / 4;
         if (!reception && m->occupancy >= r->admission) score = 0.2;
+        /* An empty machine is opened last: headroom in scattered pieces starves gangs and can't be given back. */
+        if (m->used_gpu <= 0 && m->used_cpu <= 0) score -= 5;
         /* Cheap machines for those who may use them; then an image at hand, which is worth more than the order
          * among machines that all have room: a fetch lasts longer than the whole wait a user accepts. */
         if (j->spec.reclaimable) score += m->spot ? 40 : 0;
