--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -45,6 +45,14 @@
     return !c || base_since(c->until) >= 0;
 }
 
+void cloud_reopen(const char *sku, const char *site, bool spot) {
+    char *key = place_key(sku, site, spot);
+    g_hash_table_remove(closed_at, key);
+    g_free(key);
+}
+
+/* Calls are scarce, and asking in vain takes them from work that could be served: the pause grows to a minute, and is
+ * over at once when any controller gives back a machine of the kind. */
 static void note_capacity(const struct rent_order *o, bool had) {
     char *key = place_key(o->sku, o->site, o->spot);
     struct closed *c = g_hash_table_lookup(closed_at, key);
@@ -59,7 +67,7 @@
     } else {
         g_free(key);
     }
-    c->pause = c->pause > 0 ? MIN(c->pause * 1.6, 30) : 5;
+    c->pause = c->pause > 0 ? MIN(c->pause * 2, 60) : 7;
     c->until = base_wall_in(base_span(c->pause));
     log_info("cloud: no capacity for %s in %s (%s), asking again in %.0f s", o->sku, o->site, o->spot ? "spot" : "ordinary", c->pause);
 }
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -99,7 +99,10 @@
     g_hash_table_remove(newcomers, id);
     if (!data) {
         g_hash_table_add(gone, g_strdup(id));
-        if (m) machine_free(m);
+        if (m) {
+            cloud_reopen(m->sku, m->site, m->spot);
+            machine_free(m);
+        }
         pool_kick();
         return;
     }
