--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -134,6 +134,8 @@
     m->returning = base_flag(data, "ret");
     m->born = base_num(data, "born", 0);
     const cJSON *list = cJSON_GetObjectItemCaseSensitive(data, "b"), *x;
+    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(data, "img"))
+        if (cJSON_IsString(x)) g_hash_table_add(m->images, g_strdup(x->valuestring));
     GPtrArray *keep = g_ptr_array_new();
     cJSON_ArrayForEach(x, list) {
         const cJSON *u = cJSON_GetArrayItem(x, 0), *t = cJSON_GetArrayItem(x, 1), *a = cJSON_GetArrayItem(x, 2);
@@ -169,7 +171,7 @@
     int64_t f = membership_share(m->share)->fence;
     if (m->owned_fence == f) return true;
     m->owned_fence = f;
-    m->heard = m->mine_since = base_now();
+    m->heard = m->reported = m->mine_since = base_now();
     m->unknown = m->need_raise = m->draining = m->want_return = m->dead = false;
     m->pass_to = -1;
     m->seen_fence = 0;
@@ -256,6 +258,15 @@
     cJSON_AddBoolToObject(o, "spot", m->spot);
     if (returning) cJSON_AddBoolToObject(o, "ret", true);
     cJSON_AddNumberToObject(o, "born", m->born);
+    if (m->images && g_hash_table_size(m->images)) {
+        /* For who takes it over: a start where the image is needs no fetch. */
+        GHashTableIter it;
+        gpointer name;
+        int n = 0;
+        cJSON *list = cJSON_AddArrayToObject(o, "img");
+        g_hash_table_iter_init(&it, m->images);
+        while (g_hash_table_iter_next(&it, &name, NULL) && (n += (int)strlen(name) + 3) < cfg->value_kb * 1024 / 6) cJSON_AddItemToArray(list, cJSON_CreateString(name));
+    }
     return o;
 }
 
@@ -319,7 +330,7 @@
         }
         double quiet = base_secs(cfg->report) * 2 + 1;
         m->open = m->up && m->flavour && !m->returning && !m->want_return && !m->dead && !m->draining && m->pass_to < 0 &&
-                  m->warning < 0 && !m->need_raise && !m->unknown && m->seen_fence >= pool_token(m) && base_since(m->heard) < quiet &&
+                  m->warning < 0 && !m->need_raise && !m->unknown && m->seen_fence >= pool_token(m) && base_since(m->reported) < quiet &&
                   m->bookings->len < (guint)(cfg->value_kb * 1024 / 64) - 6;
     }
 }
@@ -980,7 +991,14 @@
         struct machine *m = machines->pdata[i];
         if (m->share != k || m->returning || m->want_return || m->dead) continue;
         /* If most are silent it is more likely us than them. */
-        if (m->up && base_passed(m->heard, cfg->tuning.silent_return) && heard * 2 >= up - 1) {
+        if (m->up && base_since(m->heard) > base_secs(cfg->report) * 1.6 && base_since(m->probed) > 1.5) {
+            /* Asked directly, so that silence is not just a report on its way round the controllers. */
+            m->probed = base_now();
+            m->hello = true;
+        }
+        bool silent = base_passed(m->heard, cfg->tuning.silent_return) ||
+                      base_since(m->reported) > base_secs(cfg->lease) + base_secs(cfg->tuning.silent_return);
+        if (m->up && silent && heard * 2 >= up - 1) {
             log_info("machine %s: silent for %.0f s, returning it", m->id, base_since(m->heard));
             m->want_return = true;
         }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -43,7 +43,7 @@
     int64_t owned_fence; /* the share fence under which the rest holds */
     bool up;
     int64_t tenure, seq, seen_fence;
-    struct timespec heard, mine_since;
+    struct timespec heard, reported, mine_since, probed; /* heard: by a report or a direct answer */
     double warning; /* < 0: none */
     struct timespec warned;
     bool unknown; /* a direct command's outcome is not known */
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -79,6 +79,7 @@
     m->seq = seq;
     m->seen_fence = fence;
     m->heard = base_now();
+    if (checkin) m->reported = m->heard;
     if (!m->up) log_info("machine %s: up", m->id);
     m->up = true;
     const cJSON *w = cJSON_GetObjectItemCaseSensitive(report, "warning_s");
