--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -1028,6 +1028,43 @@
     }
 }
 
+/* Where a replica could go on at once: room, and the image at hand. */
+static struct machine *replica_target(const struct booking *b) {
+    const struct job *j = b->job;
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m == b->m || m->share != b->m->share || !m->open || m->draining || !placement_fits(m, &j->spec)) continue;
+        if (!g_hash_table_contains(m->images, j->spec.image) || (m->used_gpu <= 0 && m->used_cpu <= 0)) continue;
+        /* In its own zone it takes its own place among a spread job's tasks. */
+        struct job alone = *j;
+        if (strcmp(m->site, b->m->site) == 0) alone.spec.spread = alone.spec.together = false;
+        if (placement_allowed(m, &alone, alone.spec.together ? b->m->site : NULL, NULL)) return m;
+    }
+    return NULL;
+}
+
+/* The paper's commanded moves, for tasks that lose next to nothing by them: those that save, and replicas that start
+ * again at once where their image is. Without them a drain that holds a replica would be paid for until it gives up.
+ * All or none: a machine that keeps one task is not given back. */
+static void move_off(struct machine *m) {
+    scratch(m->share);
+    for (guint b = 0; b < m->bookings->len; b++) {
+        struct booking *x = m->bookings->pdata[b];
+        const struct job_spec *s = &x->job->spec;
+        if (x->stop || (s->shape == JOB_BATCH && s->checkpoint_s > 0)) continue;
+        struct machine *to = s->shape == JOB_STANDING && x->state == TASK_RUNNING ? replica_target(x) : NULL;
+        if (!to) return;
+        take(to, s, 1);
+    }
+    for (guint b = 0; b < m->bookings->len; b++) {
+        struct booking *x = m->bookings->pdata[b];
+        if (x->stop) continue;
+        x->stop = true;
+        x->grace_s = x->job->spec.checkpoint_s > 0 ? x->job->spec.flush_s + 2 : 0;
+        m->kick = true;
+    }
+}
+
 /* One ledger for each kind: headroom on cheap machines is none for work that may not use them. */
 static void run_ledger(int k, bool spot) {
     struct machine *reception = reception_of(k), *least = NULL;
@@ -1054,19 +1091,7 @@
     if (!rows || draining || !least || states[k].fit_nowhere || h <= cfg->tuning.margin * cfg->tuning.admission) return;
     least->draining = true;
     least->drain_since = base_now();
-    /* The paper's commanded moves, for tasks that lose nothing by them: they save, and start again on what is left. */
-    bool movable = true;
-    for (guint b = 0; b < least->bookings->len; b++) {
-        const struct job_spec *x = &((struct booking *)least->bookings->pdata[b])->job->spec;
-        movable &= x->shape == JOB_BATCH && x->checkpoint_s > 0;
-    }
-    for (guint b = 0; movable && b < least->bookings->len; b++) {
-        struct booking *x = least->bookings->pdata[b];
-        if (x->stop) continue;
-        x->stop = true;
-        x->grace_s = x->job->spec.flush_s + 2;
-        least->kick = true;
-    }
+    move_off(least);
     log_info("machine %s: draining (share %d, %s, N %d, O %.2f, H %.2f)", least->id, k, spot ? "spot" : "ordinary", n, occupied, h);
 }
 
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -17,7 +17,7 @@
     .node_lease = {4, 0},
     .watch_gap = {0, 80000000},
     .machines_per_share = 60,
-    .dear_backlog = 1,
+    .dear_backlog = 1.5,
 };
 
 struct reader {
