--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -486,6 +486,11 @@
            beyond(x->job->spec.team) >= MAX(x->job->spec.gpus, 1e-3);
 }
 
+/* A task stopped soon after its start counts as never started to its user. */
+static bool fresh_start(const struct booking *b) {
+    return b->state == TASK_UNSEEN || b->state == TASK_FETCHING || (b->state == TASK_RUNNING && base_since(b->changed) < 32);
+}
+
 /* Stops lower-ranked tasks on one machine so that a task of the job fits there; the machine that already has the
  * image comes first, then the one that loses least. The room goes to the job in the round after their release, since
  * it is ranked before them. */
@@ -505,7 +510,7 @@
             cpu -= x->job->spec.vcpus;
             gpu -= x->job->spec.gpus;
             mem -= x->job->spec.memory_gb;
-            cost += 1;
+            cost += fresh_start(x) ? 3 : 1;
         }
         if (cpu + j->spec.vcpus > f->vcpus + 1e-6 || gpu + j->spec.gpus > f->gpus + 1e-6 || mem + j->spec.memory_gb > f->memory_gb + 1e-6)
             continue;
@@ -518,11 +523,11 @@
     if (!best) return false;
     f = best->flavour;
     double quick = settings_within(cfg, AIM_WAIT, j->spec.jobclass, 60);
-    /* The youngest first: they lose least. */
-    for (guint b = best->bookings->len; b-- > 0;) {
-        struct booking *x = best->bookings->pdata[b];
+    /* Those whose start has counted first, and of them the youngest: they lose least. */
+    for (guint n = 2 * best->bookings->len; n-- > 0;) {
+        struct booking *x = best->bookings->pdata[n % best->bookings->len];
         if (placement_fits(best, &j->spec)) break;
-        if (!evictable(x, j, within)) continue;
+        if (!evictable(x, j, within) || (n >= best->bookings->len && fresh_start(x))) continue;
         x->stop = true;
         x->grace_s = x->job->spec.checkpoint_s > 0 && x->job->spec.flush_s + 1 < quick ? x->job->spec.flush_s + 1 : 0;
         take(best, &x->job->spec, -1);
@@ -801,7 +806,9 @@
         bool all = true;
         for (guint b = 0; b < m->bookings->len; b++) all &= evictable(m->bookings->pdata[b], j, within);
         if (!all) continue;
-        double cost = m->bookings->len * 2.0 + (g_hash_table_contains(m->images, j->spec.image) ? 0 : 3);
+        double cost = m->bookings->len * 2.0;
+        for (guint b = 0; b < m->bookings->len; b++) cost += fresh_start(m->bookings->pdata[b]);
+        cost += (g_hash_table_contains(m->images, j->spec.image) ? 0 : 3);
         if (best && cost >= best_cost) continue;
         best = m;
         best_cost = cost;
@@ -1051,6 +1058,7 @@
     for (guint b = 0; b < m->bookings->len; b++) {
         struct booking *x = m->bookings->pdata[b];
         const struct job_spec *s = &x->job->spec;
+        if (!x->stop && fresh_start(x)) return;
         if (x->stop || (s->shape == JOB_BATCH && s->checkpoint_s > 0)) continue;
         struct machine *to = s->shape == JOB_STANDING && x->state == TASK_RUNNING ? replica_target(x) : NULL;
         if (!to) return;
