--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -4,13 +4,15 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "../pool/pool.h"
+
 #define NODES_MOST 64
 
 struct node {
     char name[64], inc[40];
     int64_t stamp;
     struct timespec since;
-    bool live;
+    bool live, deaf;
 };
 
 static const struct settings *cfg;
@@ -21,6 +23,17 @@
 static int64_t fence_value;
 static char my_inc[40];
 static int64_t my_lease;
+static bool my_deaf;
+static struct timespec deaf_since;
+
+bool membership_deaf(void) { return my_deaf; }
+
+void membership_set_deaf(bool deaf) {
+    if (deaf == my_deaf) return;
+    my_deaf = deaf;
+    deaf_since = base_now();
+    log_info(deaf ? "most workers are silent here: giving the shares to others" : "workers can be reached again");
+}
 
 const struct share *membership_share(int k) { return &shares[k]; }
 int64_t membership_fence(void) { return fence_value; }
@@ -60,6 +73,7 @@
     if (!data && x->live) log_info("controller %s is gone", rest);
     x->live = data != NULL;
     x->stamp = data ? stamp : 0;
+    x->deaf = base_flag(data, "deaf");
     g_strlcpy(x->inc, inc ? inc : "", sizeof x->inc);
 }
 
@@ -126,6 +140,13 @@
     return o;
 }
 
+static cJSON *node_value(void) {
+    cJSON *o = cJSON_CreateObject();
+    cJSON_AddStringToObject(o, "inc", my_inc);
+    if (my_deaf) cJSON_AddBoolToObject(o, "deaf", true);
+    return o;
+}
+
 static void add_me(struct store_txn *t) {
     char key[96];
     snprintf(key, sizeof key, "node/%s", cfg->node);
@@ -161,6 +182,13 @@
             give(t, k, me);
             return true;
         }
+    if (me->deaf != my_deaf) {
+        char key[96];
+        snprintf(key, sizeof key, "node/%s", cfg->node);
+        add_me(t);
+        store_txn_set(t, key, node_value(), my_lease);
+        return true;
+    }
     struct node *lead = leader[0] ? find_node(leader) : NULL;
     if (!lead || !lead->live || strcmp(lead->inc, leader_inc) != 0) {
         cJSON *o = cJSON_CreateObject();
@@ -178,9 +206,11 @@
     }
     if (lead != me) return false;
     int owner[64] = {0}, live[NODES_MOST], n = 0, to = -1, index[NODES_MOST];
+    bool hearing = false;
+    for (int i = 0; i < n_nodes; i++) hearing |= nodes[i].live && !nodes[i].deaf;
     for (int i = 0; i < n_nodes; i++) {
         index[i] = -1;
-        if (nodes[i].live) {
+        if (nodes[i].live && !(hearing && nodes[i].deaf)) {
             index[i] = n;
             live[n++] = i;
         }
@@ -188,7 +218,7 @@
     bool orphans = false;
     for (int k = 0; k < cfg->size; k++) {
         struct node *o = shares[k].owner[0] ? find_node(shares[k].owner) : NULL;
-        owner[k] = o && o->live ? index[o - nodes] : -1;
+        owner[k] = o && o->live ? index[o - nodes] : -1; /* -1 for a deaf one, too */
         if (owner[k] < 0) orphans = true;
     }
     int k = membership_plan(cfg->size, owner, n, &to);
@@ -196,7 +226,8 @@
     struct node *target = &nodes[live[to]];
     /* A planned shift waits until the newcomer has stayed a while, so that shares don't flap with it. */
     if (!orphans && (base_since(target->since) < 5 || base_since(shares[k].changed) < 5)) return false;
-    if (orphans && shares[k].owner[0]) {
+    struct node *was = shares[k].owner[0] ? find_node(shares[k].owner) : NULL;
+    if (orphans && shares[k].owner[0] && !(was && was->live)) {
         char key[96];
         snprintf(key, sizeof key, "node/%s", shares[k].owner);
         store_txn_if(t, key, 0);
@@ -215,12 +246,10 @@
     snprintf(key, sizeof key, "node/%s", cfg->node);
     store_refresh(c, key);
     store_txn_init(&t);
-    cJSON *o = cJSON_CreateObject();
-    cJSON_AddStringToObject(o, "inc", my_inc);
     store_lock();
     store_txn_if(&t, key, store_stamp(key));
     store_unlock();
-    store_txn_set(&t, key, o, lease);
+    store_txn_set(&t, key, node_value(), lease);
     if (store_multi(c, STORE_RENEW, &t, &a) == STORE_OK) {
         store_lock();
         my_lease = lease;
@@ -252,6 +281,7 @@
                 continue;
             }
         }
+        if (my_deaf && base_since(deaf_since) > 15 && pool_try_workers(c)) membership_set_deaf(false);
         struct store_txn t;
         struct store_answer a;
         store_txn_init(&t);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -21,6 +21,10 @@
 const char *membership_inc(void);
 const char *membership_lowest(void); /* name of the leader, or NULL */
 
+/* A controller that no longer hears the workers says so in its record; its shares go to those who may hear them. */
+void membership_set_deaf(bool deaf);
+bool membership_deaf(void);
+
 /* Pure: the share to move and where, so that the owned counts differ by one at most. -1: nothing to move. */
 int membership_plan(int size, const int *owner, int nodes, int *to);
 #endif
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -986,14 +986,41 @@
     return 3.5 * (f && f->startup_s > 0 ? f->startup_s : 60) + 10;
 }
 
-static void watch_machines(int k) {
-    int up = 0, heard = 0;
+bool pool_try_workers(struct http_client *c) {
+    char urls[3][128];
+    int n = 0;
+    store_lock();
+    for (guint i = 0; i < machines->len && n < 3; i++) {
+        struct machine *m = machines->pdata[g_random_int_range(0, (gint32)machines->len)];
+        if (m->address[0]) snprintf(urls[n++], sizeof urls[0], "http://%s/inspect", m->address);
+    }
+    store_unlock();
+    for (int i = 0; i < n; i++) {
+        long status;
+        cJSON *a = NULL;
+        bool ok = http_call(c, "GET", urls[i], NULL, 500, &status, &a) == HTTP_ANSWERED && status == 200;
+        cJSON_Delete(a);
+        if (ok) return true;
+    }
+    return n == 0;
+}
+
+/* How many of our machines are up, and how many of them spoke lately. The time is shorter than any silence that has a
+ * consequence: with the same time for both, a controller that lost all workers at once found the first of them silent
+ * while it had "just" heard the others, and returned one healthy machine after the other. */
+static void count_heard(int *up, int *heard, int *reported) {
+    double lately = base_secs(cfg->report) * 1.25 + 1;
+    *up = *heard = *reported = 0;
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (m->share != k || !pool_mine(m) || !m->up) continue;
-        up++;
-        heard += base_since(m->heard) < 8;
+        if (!membership_mine(m->share) || !pool_mine(m) || !m->up || m->returning || m->want_return || m->dead) continue;
+        (*up)++;
+        *heard += base_since(m->heard) < lately;
+        *reported += base_since(m->reported) < lately;
     }
+}
+
+static void watch_machines(int k, int up, int heard) {
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
         if (m->share != k || m->returning || m->want_return || m->dead) continue;
@@ -1131,7 +1158,7 @@
 static void *pool_main(void *arg) {
     (void)arg;
     struct http_client *c = http_client_new();
-    struct timespec watched = {0, 0}, told = {0, 0};
+    struct timespec watched = {0, 0}, told = {0, 0}, hearing = base_now();
     for (;;) {
         pthread_mutex_lock(&kick_lock);
         if (!kicked) base_cond_wait(&kick_cond, &kick_lock, base_span(0.5));
@@ -1142,9 +1169,14 @@
         if (base_since(watched) > 0.5) {
             watched = base_now();
             store_lock();
+            int up, heard, reported;
+            count_heard(&up, &heard, &reported);
+            /* Cut from the store as well, what it holds ours is no longer known. */
+            if (up < 4 || reported * 10 >= up * 3 || base_since(store_verified()) > 4) hearing = base_now();
+            if (base_since(hearing) > base_secs(cfg->report) && !membership_deaf()) membership_set_deaf(true);
             for (int k = 0; k < cfg->size; k++)
                 if (membership_mine(k) && membership_verified()) {
-                    watch_machines(k);
+                    watch_machines(k, up, heard);
                     run_ledger(k, false);
                     run_ledger(k, true);
                 }
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -78,6 +78,9 @@
 void pool_row(struct machine *m); /* a report came: a row in the occupancy window */
 GPtrArray *pool_machines(void);
 
+/* Without the lock: whether one of a few workers answers. */
+bool pool_try_workers(struct http_client *c);
+
 struct rent_order {
     char sku[64], site[64];
     bool spot;
