--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -1133,16 +1133,20 @@
 /* The periodic line of a share: what waits, what there is, what is left. */
 static void tell_share(int k) {
     int up[2] = {0, 0}, booting[2] = {0, 0}, draining = 0, waiting[4] = {0, 0, 0, 0};
-    double gpus = 0, used = 0, occupied = 0;
+    double gpus[2] = {0, 0}, used[2] = {0, 0}, filler = 0, occupied = 0;
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
         if (m->share != k || m->returning || m->dead) continue;
         (m->up ? up : booting)[m->spot]++;
         draining += m->draining;
         if (!m->up || !m->flavour) continue;
-        gpus += m->flavour->gpus;
+        gpus[m->spot] += m->flavour->gpus;
         occupied += placement_occupancy(m, (int)cfg->tuning.window);
-        for (guint b = 0; b < m->bookings->len; b++) used += ((struct booking *)m->bookings->pdata[b])->job->spec.gpus;
+        for (guint b = 0; b < m->bookings->len; b++) {
+            const struct job_spec *s = &((struct booking *)m->bookings->pdata[b])->job->spec;
+            used[m->spot] += s->gpus;
+            if (!m->spot && s->reclaimable) filler += s->gpus;
+        }
     }
     GPtrArray *jobs = jobs_active();
     for (guint i = 0; i < jobs->len; i++) {
@@ -1150,8 +1154,8 @@
         if (jobs_share(j) == k) waiting[j->spec.rank] += MAX(0, j->spec.tasks - j->n_pend - (int)j->bookings->len);
     }
     log_info("share %d: waiting %d/%d/%d/%d tasks (production to idle), up %d ordinary %d spot, booting %d+%d, draining %d, "
-             "gpus %.0f of %.0f booked, occupancy %.2f, headroom %.2f",
-             k, waiting[3], waiting[2], waiting[1], waiting[0], up[0], up[1], booting[0], booting[1], draining, used, gpus, occupied,
+             "gpus booked %.0f of %.0f ordinary (%.0f by work that makes way), %.0f of %.0f spot, occupancy %.2f, headroom %.2f",
+             k, waiting[3], waiting[2], waiting[1], waiting[0], up[0], up[1], booting[0], booting[1], draining, used[0], gpus[0], filler, used[1], gpus[1], occupied,
              placement_headroom(up[0] + up[1] - draining, occupied, cfg->tuning.reception, cfg->tuning.admission));
 }
 
