--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -26,6 +26,7 @@
 static bool my_deaf;
 static struct timespec deaf_since;
 
+/* Both with store_lock held. */
 bool membership_deaf(void) { return my_deaf; }
 
 void membership_set_deaf(bool deaf) {
@@ -281,7 +282,14 @@
                 continue;
             }
         }
-        if (my_deaf && base_since(deaf_since) > 15 && pool_try_workers(c)) membership_set_deaf(false);
+        store_lock();
+        bool try_again = my_deaf && base_since(deaf_since) > 15;
+        store_unlock();
+        if (try_again && pool_try_workers(c)) {
+            store_lock();
+            membership_set_deaf(false);
+            store_unlock();
+        }
         struct store_txn t;
         struct store_answer a;
         store_txn_init(&t);
