--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -407,7 +407,7 @@
     store_lock();
     struct job *j = jobs_find(spec.uid);
     bool terminal = j && j->known && j->state != JOB_QUEUED, known = j && j->known;
-    bool ready = store_ready() && (known || cloud_flavours_known());
+    bool away = store_away(), ready = !away && (known || cloud_flavours_known());
     if (terminal) answer_known(a, j);
     if (!known && ready) a->infeasible = jobs_feasible(&spec, cfg, cloud_flavours(), cloud_flavours_count(), why, sizeof why);
     store_unlock();
@@ -416,7 +416,7 @@
     if (terminal) {
         ask_free(a);
     } else if (!ready) {
-        refuse(r, 503, "machine types or state are not known yet", 1);
+        refuse(r, 503, away ? "the state service is out of reach" : "machine types are not known yet", away ? 2 : 1);
         ask_free(a);
     } else {
         cJSON *o = cJSON_ParseWithLength(body, len);
@@ -459,13 +459,14 @@
     g_strlcpy(a->uid, uid, sizeof a->uid);
     store_lock();
     struct job *j = jobs_find(uid);
-    bool terminal = j && j->known && j->state != JOB_QUEUED, ready = store_ready();
+    bool terminal = j && j->known && j->state != JOB_QUEUED, ready = !store_away();
     if (terminal) answer_known(a, j);
     store_unlock();
     if (terminal) {
         ask_free(a);
     } else if (!ready) {
-        refuse(r, 503, "state is not known yet", 1);
+        /* At once: asking a store that is out of reach would only use up the time that the user waits. */
+        refuse(r, 503, "the state service is out of reach", 2);
         ask_free(a);
     } else {
         push(cancel ? 0 : 1, a);
@@ -561,8 +562,11 @@
         char key[96];
         snprintf(key, sizeof key, "job/%s", a->uid);
         if (rc != STORE_OK) {
-            if (rc == STORE_REFUSED)
-                refuse(a->req, 429, "over the write budget, or the state service is away", 1);
+            store_lock();
+            bool away = store_away();
+            store_unlock();
+            if (rc == STORE_REFUSED && !away)
+                refuse(a->req, 429, "over the write budget", 1);
             else
                 refuse(a->req, 503, "the state service did not answer", 2);
             ask_free(a);
@@ -605,6 +609,7 @@
         store_txn_init(&t);
         bool cancels = false;
         for (guint i = 0; i < batch->len; i++) cancels |= ((struct ask *)batch->pdata[i])->kind == ASK_CANCEL;
+        struct timespec began = base_now();
         for (int attempt = 0; attempt < 4; attempt++) {
             struct store_answer ans;
             store_txn_free(&t);
@@ -628,7 +633,7 @@
                 cJSON_ArrayForEach(x, t.ops) store_refresh(c, base_str(x, "set"));
             }
             store_answer_clear(&ans);
-            if (rc == STORE_OK || rc == STORE_REFUSED || rc == STORE_BAD) break;
+            if (rc == STORE_OK || rc == STORE_REFUSED || rc == STORE_BAD || base_since(began) > 1.5) break;
         }
         accept_answer(batch, rc, &t);
         store_txn_free(&t);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -124,7 +124,8 @@
     char *body = cJSON_PrintUnformatted(o);
     cJSON_Delete(o);
     long status;
-    enum store_result r = call(c, "POST", "/multi", body, 2000, &ans, &status);
+    /* Users wait 2 s for a poll and 5 s for a submission: a silent store must leave time for a refusal. */
+    enum store_result r = call(c, "POST", "/multi", body, t->writes ? 2000 : 1200, &ans, &status);
     if (r == STORE_OK) {
         if (status == 200 && base_int(ans, "epoch", &a->epoch)) {
         } else if (status == 409) {
@@ -327,12 +328,20 @@
     pthread_mutex_unlock(&nudge_lock);
 }
 
+static int hold_most(void) {
+    /* An idle watch must come back well within the time for which a look at the store stays good. */
+    return (int)(CLAMP((base_secs(cfg->cancel) - base_secs(cfg->lease)) / 8, 0.1, 0.7) * 1000);
+}
+
+bool store_away(void) {
+    /* Just before an idle watch returns, the last one that did was sent two holds ago. */
+    return !mirror_ready || base_since(mirror_verified) > 2 * hold_most() / 1000.0 + base_secs(cfg->tuning.watch_gap) + 0.9;
+}
+
 static void *mirror_main(void *arg) {
     (void)arg;
     struct http_client *c = http_client_new();
-    bool full = true;
-    /* An idle watch must come back well within the time for which a look at the store stays good. */
-    int hold_ms = (int)(CLAMP((base_secs(cfg->cancel) - base_secs(cfg->lease)) / 8, 0.1, 1.5) * 1000);
+    bool full = true, failed = false;
     for (;;) {
         if (full) {
             full = !read_all(c);
@@ -343,6 +352,9 @@
         cJSON *ans = NULL, *x;
         long status;
         struct timespec sent = base_now();
+        /* After a failure the first look asks for no hold: its answer is what everyone waits for. */
+        int hold_ms = failed ? 0 : hold_most();
+        failed = true;
         snprintf(path, sizeof path, "/changes?prefix=&since=%lld&hold_ms=%d", (long long)mirror_epoch, hold_ms);
         budget_take(STORE_RENEW, 0);
         enum store_result r = call(c, "GET", path, NULL, 4000, &ans, &status);
@@ -360,6 +372,7 @@
             g_hash_table_foreach_remove(stamps, sweep_gone, NULL);
             mirror_verified = sent;
             store_unlock();
+            failed = false;
         } else if (r == STORE_OK && status == 410) {
             full = true;
         } else {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -46,6 +46,7 @@
 int64_t store_epoch(void);                                          /* with the lock held: all changes up to it are in */
 bool store_ready(void);                                             /* with the lock held: read in full once */
 struct timespec store_verified(void); /* with the lock held: when the last answered watch was sent */
+bool store_away(void);                 /* with the lock held: no look at the store has succeeded lately */
 void store_mirror_start(void);
 void store_nudge(void);
 unsigned store_budget_used(void);
