--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -1126,7 +1126,7 @@
     if (!rows || draining || !least || states[k].fit_nowhere || h <= cfg->tuning.margin * cfg->tuning.admission) return;
     least->draining = true;
     least->drain_since = base_now();
-    move_off(least);
+    if (!spot) move_off(least);
     log_info("machine %s: draining (share %d, %s, N %d, O %.2f, H %.2f)", least->id, k, spot ? "spot" : "ordinary", n, occupied, h);
 }
 
