--- a/src/base/http.c
+++ b/src/base/http.c
@@ -198,10 +198,12 @@
     curl_easy_setopt(c->curl, CURLOPT_CUSTOMREQUEST, method);
     CURLcode rc = curl_easy_perform(c->curl);
     if (rc != CURLE_OK) {
-        double connected = 0;
-        curl_easy_getinfo(c->curl, CURLINFO_PRETRANSFER_TIME, &connected);
-        /* A connection attempt that was given up never completes later: nothing was sent. */
-        return rc == CURLE_COULDNT_CONNECT || connected <= 0 ? HTTP_NOT_SENT : HTTP_UNKNOWN;
+        /* A connection attempt that was given up never completes later: nothing was sent. Whether anything was is
+         * told by the bytes; the times that curl keeps may read 0 on a kept connection where clocks tick coarsely, and
+         * a request taken for unsent is a start that may be made twice. */
+        long sent = 0;
+        curl_easy_getinfo(c->curl, CURLINFO_REQUEST_SIZE, &sent);
+        return sent <= 0 ? HTTP_NOT_SENT : HTTP_UNKNOWN;
     }
     curl_easy_getinfo(c->curl, CURLINFO_RESPONSE_CODE, status);
     if (answer) *answer = cJSON_ParseWithLength(c->in->str, c->in->len);
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -82,6 +82,12 @@
     return NULL;
 }
 
+static bool booked_task(const struct job *j, int task) {
+    for (guint i = 0; i < j->bookings->len; i++)
+        if (((struct booking *)j->bookings->pdata[i])->task == task) return true;
+    return false;
+}
+
 static void apply_machine(const char *id, const cJSON *data, int64_t stamp) {
     (void)stamp;
     struct machine *m = pool_find(id);
@@ -138,7 +144,12 @@
             b->task = t->valueint;
             b->attempt = attempt;
             b->booked = b->changed = base_now();
-            b->stop = b->job->state != JOB_QUEUED;
+            b->stop = b->job->state != JOB_QUEUED || booked_task(b->job, b->task);
+            if (booked_task(b->job, b->task)) {
+                /* A booking that was thought not to be written turns up beside its successor: it is never started. */
+                b->twin = true;
+                log_info("task %s/%d is booked twice; not starting it on machine %s", b->job->spec.uid, b->task, m->id);
+            }
             g_ptr_array_add(b->job->bookings, b);
         }
         g_ptr_array_add(keep, b);
@@ -171,7 +182,11 @@
         struct booking *b = m->bookings->pdata[i];
         b->seen = b->over = b->done = b->stop_sent = false;
         b->state = TASK_UNSEEN;
-        b->stop = b->job->state != JOB_QUEUED;
+        int same = 0;
+        for (guint n = 0; n < b->job->bookings->len; n++)
+            same += ((struct booking *)b->job->bookings->pdata[n])->task == b->task;
+        b->twin = b->twin && same > 1;
+        b->stop = b->twin || b->job->state != JOB_QUEUED;
         b->grace_s = 0;
     }
     return true;
@@ -388,12 +403,6 @@
     return out;
 }
 
-static bool booked_task(const struct job *j, int task) {
-    for (guint i = 0; i < j->bookings->len; i++)
-        if (((struct booking *)j->bookings->pdata[i])->task == task) return true;
-    return false;
-}
-
 static bool planned_task(const GArray *plans, const struct job *j, int task) {
     for (guint i = 0; i < plans->len; i++) {
         const struct placement_plan *p = &g_array_index(plans, struct placement_plan, i);
@@ -549,8 +558,8 @@
     struct placement_rules rules = {cfg->tuning.reception, cfg->tuning.admission, reception_of(k)};
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (m->share != k) continue;
-        g_ptr_array_add(mine, m);
+        if (m->share == k) g_ptr_array_add(mine, m);
+        /* A team's tasks count wherever they are, also on a machine that is another share's by now. */
         for (guint b = 0; b < m->bookings->len; b++) {
             struct booking *x = m->bookings->pdata[b];
             if (x->job->spec.team < 0) continue;
@@ -725,8 +734,11 @@
     return others > 0;
 }
 
-static bool may_pass_now(struct machine *m) {
-    return m->pass_to >= 0 && m->bookings->len == 0 && !m->unknown && !m->sending && !m->need_raise && !m->want_return;
+/* Not in a round that books on it or releases from it: the plan is not in its list yet. A machine was once passed
+ * together with a task of its old share's, which then counted nowhere against the team's limit. */
+bool pool_may_pass(const struct machine *m) {
+    return m->pass_to >= 0 && m->bookings->len == 0 && !m->touched && !m->unknown && !m->sending && !m->need_raise &&
+           !m->want_return && !m->returning && !m->dead;
 }
 
 /* A spread job's part in the zone is used up. */
@@ -797,8 +809,8 @@
     }
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (m->share != k || m == reception || base_since(m->mine_since) < 5 || m->pass_to >= 0 || !m->up ||
-            !pool_mine(m) || !m->flavour)
+        if (m->share != k || m == reception || m->touched || base_since(m->mine_since) < 5 || m->pass_to >= 0 ||
+            !m->up || !pool_mine(m) || !m->flavour)
             continue;
         if (m->returning || m->want_return || m->dead || m->warning >= 0 || !m->address[0]) continue;
         if (base_since(m->heard) > base_secs(cfg->report) * 2 + 1 || !may_use(&j->spec, m->flavour)) continue;
@@ -854,7 +866,8 @@
     GPtrArray *jobs = jobs_active();
     for (guint i = 0; i < jobs->len && r->txns->len < 6; i++) {
         struct job *j = jobs->pdata[i];
-        if (jobs_share(j) == k && j->known && jobs_dirty(j)) jobs_adds(j, round_txn(r, 1, 2), cfg->txn_ops);
+        if (j->known && jobs_dirty(j) && (jobs_share(j) == k || !membership_mine(jobs_share(j))))
+            jobs_adds(j, round_txn(r, 1, 2), cfg->txn_ops);
     }
     add_newcomers(r, k);
     plan_jobs(r, k);
@@ -872,7 +885,7 @@
             continue;
         }
         int64_t fence = m->fence;
-        bool pass = may_pass_now(m) && !raised, raise = pass || (m->need_raise && !raised);
+        bool pass = pool_may_pass(m) && !raised, raise = pass || (m->need_raise && !raised);
         if (raise) {
             fence = membership_fence() + 1;
             raised = true;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -19,6 +19,7 @@
     bool over;             /* proven gone or ended: to be released in the next round */
     bool stop;
     bool stop_sent;
+    bool twin; /* the same task was booked elsewhere before this one was seen */
     double grace_s;
     bool done; /* over because it completed */
     struct timespec booked, changed;
@@ -77,6 +78,7 @@
 bool pool_booking_active(const struct booking *b);
 void pool_row(struct machine *m); /* a report came: a row in the occupancy window */
 GPtrArray *pool_machines(void);
+bool pool_may_pass(const struct machine *m); /* in this round */
 
 /* Without the lock: whether one of a few workers answers. */
 bool pool_try_workers(struct http_client *c);
--- a/src/pool/pool_test.c
+++ b/src/pool/pool_test.c
@@ -162,6 +162,33 @@
     assert_int_equal(standin_workers_most(), 1);
 }
 
+/* What keeps a machine from passing to another share. */
+static void may_pass(void **state) {
+    (void)state;
+    static const struct {
+        int to;
+        bool touched, unknown, sending, raise, leaving, want;
+    } rows[] = {
+        {1, false, false, false, false, false, true}, {-1, false, false, false, false, false, false},
+        {1, true, false, false, false, false, false}, /* this round books on it */
+        {1, false, true, false, false, false, false}, {1, false, false, true, false, false, false},
+        {1, false, false, false, true, false, false}, {1, false, false, false, false, true, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct machine m;
+        memset(&m, 0, sizeof m);
+        m.bookings = g_ptr_array_new();
+        m.pass_to = rows[i].to;
+        m.touched = rows[i].touched;
+        m.unknown = rows[i].unknown;
+        m.sending = rows[i].sending;
+        m.need_raise = rows[i].raise;
+        m.want_return = rows[i].leaving;
+        assert_int_equal(pool_may_pass(&m), rows[i].want);
+        g_ptr_array_free(m.bookings, TRUE);
+    }
+}
+
 int main(void) {
     char err[256];
     char *text =
@@ -183,6 +210,7 @@
     if (!service_start(&cfg)) return 1;
     const struct CMUnitTest tests[] = {cmocka_unit_test(answers),        cmocka_unit_test(runs_a_job),
                                        cmocka_unit_test(cancels),        cmocka_unit_test(outage),
-                                       cmocka_unit_test(silent_machine), cmocka_unit_test(deaf)};
+                                       cmocka_unit_test(silent_machine), cmocka_unit_test(deaf),
+                                       cmocka_unit_test(may_pass)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -262,7 +262,8 @@
     (void)key;
     (void)data;
     struct stamp_row *row = value;
-    return row->gone && row->stamp <= mirror_epoch;
+    /* Kept well past the removal: a slow read that began before it must not bring the key back. */
+    return row->gone && row->stamp + 5000 <= mirror_epoch;
 }
 
 static bool read_all(struct http_client *c) {
--- a/src/store/store_test.c
+++ b/src/store/store_test.c
@@ -1,6 +1,9 @@
 #include "store/store.h"
 
+#include <arpa/inet.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "../../tests/standin/site.h"
 #include "../../tests/standin/state.h"
@@ -106,6 +109,35 @@
     assert_true(applied >= 3);
 }
 
+static void *swallow(void *arg) {
+    /* Accepts one connection, answers its first request, and is silent after the second. */
+    int at = accept(*(int *)arg, NULL, NULL);
+    char buf[4096];
+    static const char ok[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}";
+    if (at >= 0 && read(at, buf, sizeof buf) > 0 && write(at, ok, sizeof ok - 1) > 0) (void)!read(at, buf, sizeof buf);
+    base_sleep(base_span(1));
+    if (at >= 0) close(at);
+    return NULL;
+}
+
+/* What was sent and not answered is unknown, also on a kept connection; what found no listener was not sent. */
+static void sent_or_not(void **state) {
+    (void)state;
+    struct sockaddr_in sa = {.sin_family = AF_INET, .sin_port = htons(18186), .sin_addr = {htonl(INADDR_LOOPBACK)}};
+    int one = 1, fd = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    assert_int_equal(bind(fd, (struct sockaddr *)&sa, sizeof sa), 0);
+    assert_int_equal(listen(fd, 4), 0);
+    assert_int_equal(base_thread(swallow, &fd), 0);
+    struct http_client *h = http_client_new();
+    long status;
+    assert_int_equal(http_call(h, "POST", "http://127.0.0.1:18186/a", "{}", 500, &status, NULL), HTTP_ANSWERED);
+    assert_int_equal(http_call(h, "POST", "http://127.0.0.1:18186/a", "{}", 300, &status, NULL), HTTP_UNKNOWN);
+    assert_int_equal(http_call(h, "POST", "http://127.0.0.1:18187/a", "{}", 300, &status, NULL), HTTP_NOT_SENT);
+    http_client_free(h);
+    close(fd);
+}
+
 int main(void) {
     char err[256];
     char *text = site_with(SITE_JSON, "127.0.0.1:18084", "127.0.0.1:18184");
@@ -115,6 +147,6 @@
     store_observe("z/", count_applied);
     c = http_client_new();
     const struct CMUnitTest tests[] = {cmocka_unit_test(results), cmocka_unit_test(late_transaction),
-                                       cmocka_unit_test(mirror)};
+                                       cmocka_unit_test(mirror), cmocka_unit_test(sent_or_not)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/workers/workers_test.c
+++ b/src/workers/workers_test.c
@@ -172,6 +172,24 @@
     store_unlock();
 }
 
+/* A booking thought unwritten that turns up late beside its successor is never started. */
+static void booked_twice(void **state) {
+    (void)state;
+    int64_t f = membership_share(0)->fence;
+    store_lock();
+    put("job/req-10003", SPEC("req-10003", "batch", "2"), ++stamp);
+    struct machine *first = fresh("i-000910", "[[\"req-10003\",0,8]]"),
+                   *late = fresh("i-000911", "[[\"req-10003\",0,7]]");
+    report(first, 1, 1, f, "", true);
+    report(late, 1, 1, f, "", true);
+    assert_int_equal(orders(first, "run"), 1);
+    assert_int_equal(orders(late, "run"), 0);
+    assert_true(((struct booking *)late->bookings->pdata[0])->over);
+    store_apply("machine/i-000910", NULL, ++stamp);
+    store_apply("machine/i-000911", NULL, ++stamp);
+    store_unlock();
+}
+
 int main(void) {
     char err[256];
     char *text = site_with(SITE_JSON, "127.0.0.1:18084", "127.0.0.1:18185");
@@ -194,6 +212,7 @@
         base_sleep(base_span(0.1));
     }
     const struct CMUnitTest tests[] = {cmocka_unit_test(proofs), cmocka_unit_test(takeover_in_flight),
-                                       cmocka_unit_test(raise_token), cmocka_unit_test(cancelled)};
+                                       cmocka_unit_test(raise_token), cmocka_unit_test(cancelled),
+                                       cmocka_unit_test(booked_twice)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
