--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -148,7 +148,9 @@
             if (booked_task(b->job, b->task)) {
                 /* A booking that was thought not to be written turns up beside its successor: it is never started. */
                 b->twin = true;
-                log_info("task %s/%d is booked twice; not starting it on machine %s", b->job->spec.uid, b->task, m->id);
+                if (membership_mine(m->share))
+                    log_info("task %s/%d is booked twice; not starting it on machine %s", b->job->spec.uid, b->task,
+                             m->id);
             }
             g_ptr_array_add(b->job->bookings, b);
         }
