--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -552,6 +552,56 @@
            j->spec.pull_gb / MAX(m->flavour->fetch_rate, 1e-3) > settings_within(cfg, AIM_WAIT, j->spec.jobclass, 1e9);
 }
 
+/* The attempt of a gang that has not started and whose remaining tasks were all just reported as fetching or waiting;
+ * 0 otherwise. Such a gang can be completed under the same attempt. */
+int64_t pool_gang_open(const struct job *j) {
+    int64_t attempt = 0;
+    for (guint b = 0; b < j->bookings->len; b++) {
+        const struct booking *x = j->bookings->pdata[b];
+        if (attempt && x->attempt != attempt) return 0;
+        attempt = x->attempt;
+        if (x->over || x->stop || !x->seen || (x->state != TASK_FETCHING && x->state != TASK_GATHERING)) return 0;
+        if (base_since(x->m->reported) > base_secs(cfg->report) * 1.25 + 1) return 0;
+    }
+    return attempt;
+}
+
+static bool holds_ended(const struct machine *m, const char *uid, int task, int64_t attempt) {
+    char name[96];
+    snprintf(name, sizeof name, "%s/%d", uid, task);
+    for (guint i = 0; i < m->strays->len; i++) {
+        const struct stray *s = &g_array_index(m->strays, struct stray, i);
+        if (s->attempt == attempt && strcmp(s->task, name) == 0) return true;
+    }
+    return false;
+}
+
+/* Replaces what a gang lost before its start, so that the others need not fetch and wait again. */
+static bool replace_gang_tasks(struct round *r, struct job *j, GPtrArray *mine, const struct placement_rules *rules,
+                               struct usage *u) {
+    int64_t attempt = pool_gang_open(j);
+    int missing = j->spec.tasks - (int)j->bookings->len;
+    if (!attempt || !quota_left(&u[j->spec.team], &j->spec, missing)) return false;
+    guint from = r->plans->len;
+    struct usage before = u[j->spec.team];
+    for (int t = 0; t < j->spec.tasks; t++) {
+        if (booked_task(j, t)) continue;
+        struct machine *m = placement_pick(mine, j, NULL, rules, r->plans);
+        /* A machine that still holds this very attempt would do nothing. */
+        if (m && !holds_ended(m, j->spec.uid, t, attempt)) {
+            plan_task(r, m, j, t, attempt, u);
+            continue;
+        }
+        for (guint i = from; i < r->plans->len; i++)
+            take(g_array_index(r->plans, struct placement_plan, i).m, &j->spec, -1);
+        g_array_set_size(r->plans, from);
+        u[j->spec.team] = before;
+        return false;
+    }
+    log_info("gang %s: %d of its %d tasks replaced under the same attempt", j->spec.uid, missing, j->spec.tasks);
+    return true;
+}
+
 static void plan_jobs(struct round *r, int k) {
     GArray *order = rank_jobs(k);
     GPtrArray *mine = g_ptr_array_new();
@@ -590,6 +640,7 @@
                     }
                 }
             } else if (j->bookings->len < (guint)j->spec.tasks) {
+                if (replace_gang_tasks(r, j, mine, &rules, u)) continue;
                 /* A part of it is gone, or never got booked: the rest makes way for a new attempt. */
                 for (guint b = 0; b < j->bookings->len; b++) {
                     struct booking *x = j->bookings->pdata[b];
@@ -1066,9 +1117,15 @@
             for (guint b = 0; b < m->bookings->len; b++) {
                 struct booking *x = m->bookings->pdata[b];
                 if (!x->stop && x->job->spec.checkpoint_s > 0 && left < x->job->spec.flush_s + 6) {
-                    x->stop = true;
-                    x->grace_s = x->job->spec.flush_s + 2;
-                    m->kick = true;
+                    /* A gang saves only if all its tasks are told at about the same time. */
+                    bool gang = x->job->spec.shape == JOB_GROUP;
+                    for (guint n = 0; n < (gang ? x->job->bookings->len : 1); n++) {
+                        struct booking *y = gang ? x->job->bookings->pdata[n] : x;
+                        if (y->stop) continue;
+                        y->stop = true;
+                        y->grace_s = y->job->spec.flush_s + 2;
+                        y->m->kick = true;
+                    }
                 }
             }
             if (m->bookings->len == 0) m->want_return = true;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -78,6 +78,7 @@
 bool pool_booking_active(const struct booking *b);
 void pool_row(struct machine *m); /* a report came: a row in the occupancy window */
 GPtrArray *pool_machines(void);
+int64_t pool_gang_open(const struct job *j);
 bool pool_may_pass(const struct machine *m); /* in this round */
 
 /* Without the lock: whether one of a few workers answers. */
--- a/src/pool/pool_test.c
+++ b/src/pool/pool_test.c
@@ -189,6 +189,42 @@
     }
 }
 
+/* Which gangs may be completed under the attempt they have. */
+static void gang_open(void **state) {
+    (void)state;
+    static const struct {
+        enum task_state a, b;
+        bool seen, stop, over, other_attempt, old;
+        int64_t want;
+    } rows[] = {
+        {TASK_FETCHING, TASK_GATHERING, true, false, false, false, false, 7},
+        {TASK_GATHERING, TASK_RUNNING, true, false, false, false, false, 0}, /* it has started */
+        {TASK_GATHERING, TASK_GATHERING, false, false, false, false, false, 0},
+        {TASK_GATHERING, TASK_GATHERING, true, true, false, false, false, 0},
+        {TASK_GATHERING, TASK_GATHERING, true, false, true, false, false, 0},
+        {TASK_GATHERING, TASK_GATHERING, true, false, false, true, false, 0},
+        {TASK_GATHERING, TASK_GATHERING, true, false, false, false, true, 0}, /* the word is too old */
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct machine m;
+        struct job j;
+        memset(&m, 0, sizeof m);
+        memset(&j, 0, sizeof j);
+        if (!rows[i].old) m.reported = base_now();
+        struct booking a = {.job = &j, .m = &m, .attempt = 7, .seen = true, .state = rows[i].a}, b = a;
+        b.state = rows[i].b;
+        b.seen = rows[i].seen;
+        b.stop = rows[i].stop;
+        b.over = rows[i].over;
+        if (rows[i].other_attempt) b.attempt = 8;
+        j.bookings = g_ptr_array_new();
+        g_ptr_array_add(j.bookings, &a);
+        g_ptr_array_add(j.bookings, &b);
+        assert_int_equal(pool_gang_open(&j), rows[i].want);
+        g_ptr_array_free(j.bookings, TRUE);
+    }
+}
+
 int main(void) {
     char err[256];
     char *text =
@@ -211,6 +247,6 @@
     const struct CMUnitTest tests[] = {cmocka_unit_test(answers),        cmocka_unit_test(runs_a_job),
                                        cmocka_unit_test(cancels),        cmocka_unit_test(outage),
                                        cmocka_unit_test(silent_machine), cmocka_unit_test(deaf),
-                                       cmocka_unit_test(may_pass)};
+                                       cmocka_unit_test(may_pass),       cmocka_unit_test(gang_open)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
