--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -437,7 +437,6 @@
     take(m, &j->spec, 1);
     u[j->spec.team].cpu += j->spec.vcpus;
     u[j->spec.team].gpu += j->spec.gpus;
-    m->touched = true;
 }
 
 /* A gang: all of it or nothing, in one zone if it asks for that. */
@@ -682,6 +681,8 @@
         }
         if (j->hungry) states[k].fit_nowhere = true;
     }
+    /* Only what stays planned is written: a gang's tries that came to nothing are not. */
+    for (guint i = 0; i < r->plans->len; i++) g_array_index(r->plans, struct placement_plan, i).m->touched = true;
     g_array_free(order, TRUE);
     g_ptr_array_free(mine, TRUE);
 }
