--- a/src/pool/pool_test.c
+++ b/src/pool/pool_test.c
@@ -86,7 +86,10 @@
     (void)state;
     assert_int_equal(submit("req-10001", "batch", 5), 201);
     assert_int_equal(submit("req-10001", "batch", 5), 200);
-    assert_true(becomes("req-10001", "done", 15));
+    /* The cloud refuses thrice first: over its rate, in trouble, without capacity. */
+    assert_true(becomes("req-10001", "done", 30));
+    assert_int_equal(standin_cloud_refused(), 3);
+    assert_true(standin_cloud_rented() >= 2);
     assert_int_equal(submit("req-10001", "batch", 5), 200);
     assert_int_equal(standin_cloud_claims_reused(), 0);
 }
--- a/tests/standin/fleet.c
+++ b/tests/standin/fleet.c
@@ -171,6 +171,13 @@
     return out;
 }
 
+/* The first rental requests meet what a cloud may answer before it gives anything. */
+static const struct {
+    unsigned status;
+    const char *body;
+} refusals[] = {{429, "{}"}, {503, "{\"error\":\"trouble\"}"}, {503, "{\"error\":\"no capacity\"}"}};
+static unsigned refused;
+
 static void on_cloud(struct http_req *r, void *ctx) {
     (void)ctx;
     size_t len;
@@ -198,7 +205,12 @@
         if (old && strcmp(old, text) != 0) reused++;
         g_hash_table_insert(claims, g_strdup(claim), g_strdup(text));
         free(text);
-        out = rent(o);
+        if (refused < G_N_ELEMENTS(refusals)) {
+            status = refusals[refused].status;
+            out = cJSON_Parse(refusals[refused++].body);
+        } else {
+            out = rent(o);
+        }
     } else {
         out = cJSON_Parse("{\"hosts\":[],\"has_next\":false}");
     }
@@ -223,6 +235,7 @@
     pthread_mutex_unlock(&lock); \
     return v;
 int standin_cloud_rented(void) { GET(n_workers) }
+int standin_cloud_refused(void) { GET((int)refused) }
 int standin_cloud_returned(void) { GET(returned) }
 int standin_cloud_claims_reused(void) { GET(reused) }
 void standin_workers_mute(bool all) { SET(mute = all) }
--- a/tests/standin/fleet.h
+++ b/tests/standin/fleet.h
@@ -5,6 +5,7 @@
 
 bool standin_cloud_start(const char *address, const char *controller);
 int standin_cloud_rented(void);
+int standin_cloud_refused(void); /* it refuses the first three rentals, each in another way */
 int standin_cloud_returned(void);
 int standin_cloud_claims_reused(void); /* a claim used for two different orders */
 
