--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -35,11 +35,8 @@
     int n_done, n_pend;
     /* owner's side */
     GPtrArray *bookings; /* struct booking, the machines' property */
-    int64_t gang_try;    /* attempt that is under way, 0: none */
-    bool gang_started, gang_stopping;
     struct timespec retry_at;
     int failures;
-    int cursor;
     bool hungry; /* tasks found no place in the last round */
     struct timespec preempted;
 };
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -55,6 +55,17 @@
     return g_hash_table_contains(by_id, id) || g_hash_table_contains(newcomers, id) || g_hash_table_contains(gone, id);
 }
 
+/* On its way back to the cloud, or there already. */
+static bool leaving(const struct machine *m) { return m->returning || m->want_return || m->dead; }
+
+/* Asks a task to end; the first to ask decides with how much grace. */
+static void stop_task(struct booking *b, double grace_s) {
+    if (b->stop) return;
+    b->stop = true;
+    b->grace_s = grace_s;
+    b->m->kick = true;
+}
+
 static void booking_free(struct booking *b) {
     g_ptr_array_remove(b->job->bookings, b);
     g_free(b);
@@ -182,7 +193,7 @@
     m->hello = m->kick = m->address[0] != 0;
     for (guint i = 0; i < m->bookings->len; i++) {
         struct booking *b = m->bookings->pdata[i];
-        b->seen = b->over = b->done = b->stop_sent = false;
+        b->seen = b->over = b->stop_sent = false;
         b->state = TASK_UNSEEN;
         int same = 0;
         for (guint n = 0; n < b->job->bookings->len; n++)
@@ -311,8 +322,7 @@
     struct machine *best = NULL;
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (m->share != k || m->spot || m->returning || m->want_return || m->dead || !m->up || m->warning >= 0)
-            continue;
+        if (m->share != k || m->spot || leaving(m) || !m->up || m->warning >= 0) continue;
         if (!best || m->born < best->born || (m->born == best->born && strcmp(m->id, best->id) < 0)) best = m;
     }
     return best;
@@ -337,9 +347,9 @@
             m->used_mem += x->job->spec.memory_gb;
         }
         double quiet = base_secs(cfg->report) * 2 + 1;
-        m->open = m->up && m->flavour && !m->returning && !m->want_return && !m->dead && !m->draining &&
-                  m->pass_to < 0 && m->warning < 0 && !m->need_raise && !m->unknown && m->seen_fence >= pool_token(m) &&
-                  base_since(m->reported) < quiet && m->bookings->len < (guint)(cfg->value_kb * 1024 / 64) - 6;
+        m->open = m->up && m->flavour && !leaving(m) && !m->draining && m->pass_to < 0 && m->warning < 0 &&
+                  !m->need_raise && !m->unknown && m->seen_fence >= pool_token(m) && base_since(m->reported) < quiet &&
+                  m->bookings->len < (guint)(cfg->value_kb * 1024 / 64) - 6;
     }
 }
 
@@ -643,11 +653,7 @@
                 /* A part of it is gone, or never got booked: the rest makes way for a new attempt. */
                 for (guint b = 0; b < j->bookings->len; b++) {
                     struct booking *x = j->bookings->pdata[b];
-                    if (!x->stop) {
-                        x->stop = true;
-                        x->grace_s = 0;
-                        x->m->kick = true;
-                    }
+                    stop_task(x, 0);
                 }
             }
         } else {
@@ -656,8 +662,7 @@
                 struct booking *x = j->bookings->pdata[b];
                 if (jobs_bit(j->pend, x->task)) left++;
             }
-            for (int n = 0, t = j->cursor; n < j->spec.tasks && left > 0; n++, t++) {
-                t %= j->spec.tasks;
+            for (int t = 0; t < j->spec.tasks && left > 0; t++) {
                 if (jobs_bit(j->pend, t) || booked_task(j, t) || planned_task(r->plans, j, t)) continue;
                 if (!quota_left(&u[j->spec.team], &j->spec, 1)) break;
                 struct machine *m = placement_pick(mine, j, NULL, &rules, r->plans);
@@ -775,7 +780,7 @@
 
 /* An ordinary machine whose tasks would all make way. Its share keeps at least one other. */
 static bool passable(const struct machine *m) {
-    if (m->spot || m->returning || m->want_return || m->dead || m->warning >= 0 || !m->address[0]) return false;
+    if (m->spot || leaving(m) || m->warning >= 0 || !m->address[0]) return false;
     for (guint b = 0; b < m->bookings->len; b++) {
         const struct job_spec *s = &((struct booking *)m->bookings->pdata[b])->job->spec;
         if (!s->reclaimable || s->shape != JOB_BATCH) return false;
@@ -866,7 +871,7 @@
         if (m->share != k || m == reception || m->touched || base_since(m->mine_since) < 5 || m->pass_to >= 0 ||
             !m->up || !pool_mine(m) || !m->flavour)
             continue;
-        if (m->returning || m->want_return || m->dead || m->warning >= 0 || !m->address[0]) continue;
+        if (leaving(m) || m->warning >= 0 || !m->address[0]) continue;
         if (base_since(m->heard) > base_secs(cfg->report) * 2 + 1 || !may_use(&j->spec, m->flavour)) continue;
         if (!placement_allowed(m, j, site, NULL)) continue;
         /* For work that could use cheap machines a dear one goes only if it is surplus here. */
@@ -905,10 +910,7 @@
         log_info("machine %s: passing it from share %d to share %d for %s", m->id, k, s, j->spec.uid);
         for (guint b = 0; b < m->bookings->len; b++) {
             struct booking *x = m->bookings->pdata[b];
-            if (x->stop) continue;
-            x->stop = true;
-            x->grace_s = x->job->spec.checkpoint_s > 0 ? x->job->spec.flush_s + 1 : 0;
-            m->kick = true;
+            stop_task(x, x->job->spec.checkpoint_s > 0 ? x->job->spec.flush_s + 1 : 0);
         }
     }
 }
@@ -1085,8 +1087,7 @@
     *up = *heard = *reported = 0;
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (!membership_mine(m->share) || !pool_mine(m) || !m->up || m->returning || m->want_return || m->dead)
-            continue;
+        if (!membership_mine(m->share) || !pool_mine(m) || !m->up || leaving(m)) continue;
         (*up)++;
         *heard += base_since(m->heard) < lately;
         *reported += base_since(m->reported) < lately;
@@ -1096,7 +1097,7 @@
 static void watch_machines(int k, int up, int heard) {
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (m->share != k || m->returning || m->want_return || m->dead) continue;
+        if (m->share != k || leaving(m)) continue;
         /* If most are silent it is more likely us than them. */
         if (m->up && base_since(m->heard) > base_secs(cfg->report) * 1.6 && base_since(m->probed) > 1.5) {
             /* Asked directly, so that silence is not just a report on its way round the controllers. */
@@ -1122,10 +1123,7 @@
                     bool gang = x->job->spec.shape == JOB_GROUP;
                     for (guint n = 0; n < (gang ? x->job->bookings->len : 1); n++) {
                         struct booking *y = gang ? x->job->bookings->pdata[n] : x;
-                        if (y->stop) continue;
-                        y->stop = true;
-                        y->grace_s = y->job->spec.flush_s + 2;
-                        y->m->kick = true;
+                        stop_task(y, y->job->spec.flush_s + 2);
                     }
                 }
             }
@@ -1172,10 +1170,7 @@
     }
     for (guint b = 0; b < m->bookings->len; b++) {
         struct booking *x = m->bookings->pdata[b];
-        if (x->stop) continue;
-        x->stop = true;
-        x->grace_s = x->job->spec.checkpoint_s > 0 ? x->job->spec.flush_s + 2 : 0;
-        m->kick = true;
+        stop_task(x, x->job->spec.checkpoint_s > 0 ? x->job->spec.flush_s + 2 : 0);
     }
 }
 
@@ -1187,8 +1182,7 @@
     bool draining = false, rows = true;
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (m->share != k || m->spot != spot || !pool_mine(m) || !m->up || m->returning || m->want_return || m->dead)
-            continue;
+        if (m->share != k || m->spot != spot || !pool_mine(m) || !m->up || leaving(m)) continue;
         double occ = placement_occupancy(m, (int)cfg->tuning.window);
         occupied += occ;
         draining |= m->draining;
@@ -1324,7 +1318,7 @@
     struct machine *reception = reception_of(k);
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (m->share != k || m->returning || m->want_return || m->dead) continue;
+        if (m->share != k || leaving(m)) continue;
         have++;
         const struct flavour_info *f = cloud_flavour(m->sku);
         if (f && m->spot) slots += f->gpus;
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -21,7 +21,6 @@
     bool stop_sent;
     bool twin; /* the same task was booked elsewhere before this one was seen */
     double grace_s;
-    bool done; /* over because it completed */
     struct timespec booked, changed;
 };
 
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -25,7 +25,6 @@
     struct job *j = b->job;
     b->over = true;
     if (cause && strcmp(cause, "done") == 0) {
-        b->done = true;
         if (j->state == JOB_QUEUED) jobs_mark_done(j, b->task);
         return;
     }
