--- /dev/null
+++ b/src/base/http.c
@@ -0,0 +1,210 @@
+#include <arpa/inet.h>
+#include <curl/curl.h>
+#include <microhttpd.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base.h"
+
+#define BODY_MOST (64 * 1024)
+
+struct http_server {
+    struct MHD_Daemon *daemon;
+    http_handler fn;
+    void *ctx;
+};
+
+struct http_req {
+    struct MHD_Connection *conn;
+    char *method, *path;
+    GString *body;
+    bool too_large, dispatched, held, ready;
+    unsigned status;
+    char *answer;
+    int retry_after_s;
+};
+
+const char *http_method(const struct http_req *r) { return r->method; }
+const char *http_path(const struct http_req *r) { return r->path; }
+bool http_too_large(const struct http_req *r) { return r->too_large; }
+const char *http_body(const struct http_req *r, size_t *len) {
+    if (len) *len = r->body->len;
+    return r->body->str;
+}
+
+void http_hold(struct http_req *r) {
+    /* Suspended before it is queued anywhere, so that a fast answer can't be lost. */
+    r->held = true;
+    MHD_suspend_connection(r->conn);
+}
+
+void http_reply(struct http_req *r, unsigned status, const char *body, int retry_after_s) {
+    r->status = status;
+    r->answer = g_strdup(body ? body : "{}");
+    r->retry_after_s = retry_after_s;
+    r->ready = true;
+    if (r->held) MHD_resume_connection(r->conn);
+}
+
+void http_reply_json(struct http_req *r, unsigned status, cJSON *body, int retry_after_s) {
+    char *text = cJSON_PrintUnformatted(body);
+    http_reply(r, status, text, retry_after_s);
+    free(text);
+    cJSON_Delete(body);
+}
+
+static enum MHD_Result send_ready(struct http_req *r) {
+    struct MHD_Response *resp =
+        MHD_create_response_from_buffer(strlen(r->answer), r->answer, MHD_RESPMEM_MUST_COPY);
+    MHD_add_response_header(resp, "Content-Type", "application/json");
+    if (r->retry_after_s > 0) {
+        char t[16];
+        g_snprintf(t, sizeof t, "%d", r->retry_after_s);
+        MHD_add_response_header(resp, "Retry-After", t);
+    }
+    enum MHD_Result rc = MHD_queue_response(r->conn, r->status, resp);
+    MHD_destroy_response(resp);
+    return rc;
+}
+
+static enum MHD_Result on_request(void *cls, struct MHD_Connection *conn, const char *url, const char *method,
+                                  const char *version, const char *data, size_t *size, void **state) {
+    (void)version;
+    struct http_server *s = cls;
+    struct http_req *r = *state;
+    if (!r) {
+        r = g_new0(struct http_req, 1);
+        r->conn = conn;
+        r->method = g_strdup(method);
+        r->path = g_strdup(url);
+        r->body = g_string_sized_new(512);
+        *state = r;
+        return MHD_YES;
+    }
+    if (*size > 0) {
+        if (r->body->len + *size > BODY_MOST)
+            r->too_large = true;
+        else
+            g_string_append_len(r->body, data, (gssize)*size);
+        *size = 0;
+        return MHD_YES;
+    }
+    if (!r->dispatched) {
+        r->dispatched = true;
+        s->fn(r, s->ctx);
+        if (r->held) return MHD_YES;
+    }
+    if (!r->ready) return MHD_YES;
+    return send_ready(r);
+}
+
+static void on_done(void *cls, struct MHD_Connection *conn, void **state, enum MHD_RequestTerminationCode code) {
+    (void)cls;
+    (void)conn;
+    (void)code;
+    struct http_req *r = *state;
+    if (!r) return;
+    g_free(r->method);
+    g_free(r->path);
+    g_string_free(r->body, TRUE);
+    g_free(r->answer);
+    g_free(r);
+    *state = NULL;
+}
+
+struct http_server *http_serve(const char *address, unsigned max_connections, http_handler fn, void *ctx) {
+    struct sockaddr_in sa = {.sin_family = AF_INET};
+    char host[64];
+    const char *colon = strrchr(address, ':');
+    if (!colon || (size_t)(colon - address) >= sizeof host) return NULL;
+    memcpy(host, address, (size_t)(colon - address));
+    host[colon - address] = 0;
+    int port = atoi(colon + 1);
+    if (inet_pton(AF_INET, host, &sa.sin_addr) != 1 || port <= 0 || port > 65535) return NULL;
+    sa.sin_port = htons((uint16_t)port);
+    struct http_server *s = g_new0(struct http_server, 1);
+    s->fn = fn;
+    s->ctx = ctx;
+    /* One epoll thread with suspended connections: a thread a connection would not fit the memory. */
+    s->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, (uint16_t)port, NULL, NULL,
+                                 on_request, s, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&sa,
+                                 MHD_OPTION_NOTIFY_COMPLETED, on_done, NULL, MHD_OPTION_CONNECTION_LIMIT,
+                                 max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)8192,
+                                 MHD_OPTION_CONNECTION_TIMEOUT, 90u, MHD_OPTION_THREAD_STACK_SIZE, (size_t)262144,
+                                 MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
+    if (!s->daemon) {
+        g_free(s);
+        return NULL;
+    }
+    return s;
+}
+
+struct http_client {
+    CURL *curl;
+    struct curl_slist *headers;
+    GString *in;
+};
+
+static size_t on_data(char *p, size_t size, size_t n, void *ctx) {
+    g_string_append_len(ctx, p, (gssize)(size * n));
+    return size * n;
+}
+
+struct http_client *http_client_new(void) {
+    static gsize once = 0;
+    if (g_once_init_enter(&once)) {
+        /* No TLS: its tables cost memory and start-up time that the machine doesn't have to spare. */
+        curl_global_init(CURL_GLOBAL_NOTHING);
+        g_once_init_leave(&once, 1);
+    }
+    struct http_client *c = g_new0(struct http_client, 1);
+    c->curl = curl_easy_init();
+    c->in = g_string_sized_new(1024);
+    c->headers = curl_slist_append(NULL, "Content-Type: application/json");
+    c->headers = curl_slist_append(c->headers, "Expect:");
+    curl_easy_setopt(c->curl, CURLOPT_NOSIGNAL, 1L);
+    curl_easy_setopt(c->curl, CURLOPT_HTTPHEADER, c->headers);
+    curl_easy_setopt(c->curl, CURLOPT_WRITEFUNCTION, on_data);
+    curl_easy_setopt(c->curl, CURLOPT_WRITEDATA, c->in);
+    curl_easy_setopt(c->curl, CURLOPT_PROXY, "");
+    curl_easy_setopt(c->curl, CURLOPT_MAXCONNECTS, 24L);
+    curl_easy_setopt(c->curl, CURLOPT_BUFFERSIZE, 16384L);
+    return c;
+}
+
+void http_client_free(struct http_client *c) {
+    if (!c) return;
+    curl_easy_cleanup(c->curl);
+    curl_slist_free_all(c->headers);
+    g_string_free(c->in, TRUE);
+    g_free(c);
+}
+
+enum http_outcome http_call(struct http_client *c, const char *method, const char *url, const char *body, long timeout_ms,
+                            long *status, cJSON **answer) {
+    if (answer) *answer = NULL;
+    *status = 0;
+    g_string_truncate(c->in, 0);
+    curl_easy_setopt(c->curl, CURLOPT_URL, url);
+    curl_easy_setopt(c->curl, CURLOPT_TIMEOUT_MS, timeout_ms);
+    curl_easy_setopt(c->curl, CURLOPT_CONNECTTIMEOUT_MS, timeout_ms < 1500 ? timeout_ms : 1500L);
+    if (body) {
+        curl_easy_setopt(c->curl, CURLOPT_POST, 1L);
+        curl_easy_setopt(c->curl, CURLOPT_POSTFIELDSIZE, (long)strlen(body));
+        curl_easy_setopt(c->curl, CURLOPT_POSTFIELDS, body);
+    } else {
+        curl_easy_setopt(c->curl, CURLOPT_HTTPGET, 1L);
+    }
+    curl_easy_setopt(c->curl, CURLOPT_CUSTOMREQUEST, method);
+    CURLcode rc = curl_easy_perform(c->curl);
+    if (rc != CURLE_OK) {
+        double connected = 0;
+        curl_easy_getinfo(c->curl, CURLINFO_PRETRANSFER_TIME, &connected);
+        /* A connection attempt that was given up never completes later: nothing was sent. */
+        return rc == CURLE_COULDNT_CONNECT || connected <= 0 ? HTTP_NOT_SENT : HTTP_UNKNOWN;
+    }
+    curl_easy_getinfo(c->curl, CURLINFO_RESPONSE_CODE, status);
+    if (answer) *answer = cJSON_ParseWithLength(c->in->str, c->in->len);
+    return HTTP_ANSWERED;
+}
--- /dev/null
+++ b/src/cloud/cloud.c
@@ -0,0 +1,280 @@
+#include "cloud.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../membership/membership.h"
+#include "../pool/pool.h"
+
+#define FLAVOURS_MOST 64
+
+static const struct settings *cfg;
+static struct flavour_info flavours[FLAVOURS_MOST];
+static int n_flavours;
+
+struct closed {
+    struct timespec until;
+    double pause;
+};
+static GHashTable *closed_at; /* "sku site kind" -> closed */
+
+static pthread_mutex_t kick_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t kick_cond;
+static bool kicked;
+
+bool cloud_flavours_known(void) { return n_flavours > 0; }
+const struct flavour_info *cloud_flavours(void) { return flavours; }
+int cloud_flavours_count(void) { return n_flavours; }
+
+const struct flavour_info *cloud_flavour(const char *sku) {
+    for (int i = 0; i < n_flavours; i++)
+        if (strcmp(flavours[i].sku, sku) == 0) return &flavours[i];
+    return NULL;
+}
+
+static char *place_key(const char *sku, const char *site, bool spot) {
+    return g_strdup_printf("%s %s %d", sku, site, spot);
+}
+
+bool cloud_open(const char *sku, const char *site, bool spot) {
+    char *key = place_key(sku, site, spot);
+    struct closed *c = g_hash_table_lookup(closed_at, key);
+    g_free(key);
+    return !c || base_since(c->until) >= 0;
+}
+
+static void note_capacity(const struct rent_order *o, bool had) {
+    char *key = place_key(o->sku, o->site, o->spot);
+    struct closed *c = g_hash_table_lookup(closed_at, key);
+    if (had) {
+        g_hash_table_remove(closed_at, key);
+        g_free(key);
+        return;
+    }
+    if (!c) {
+        c = g_new0(struct closed, 1);
+        g_hash_table_insert(closed_at, key, c);
+    } else {
+        g_free(key);
+    }
+    c->pause = c->pause > 0 ? MIN(c->pause * 1.6, 30) : 5;
+    c->until = base_wall_in(base_span(c->pause));
+    log_info("cloud: no capacity for %s in %s (%s), asking again in %.0f s", o->sku, o->site, o->spot ? "spot" : "ordinary", c->pause);
+}
+
+void cloud_kick(void) {
+    pthread_mutex_lock(&kick_lock);
+    kicked = true;
+    pthread_cond_signal(&kick_cond);
+    pthread_mutex_unlock(&kick_lock);
+}
+
+/* The cloud counts the calls of all controllers: each keeps to its part. */
+static double tokens;
+static struct timespec tokens_at, held_off;
+
+static bool may_call(void) {
+    store_lock();
+    double rate = cfg->cloud_rps / membership_live();
+    store_unlock();
+    struct timespec now = base_now();
+    tokens = MIN(tokens + (base_secs(now) - base_secs(tokens_at)) * rate, MAX(1, rate * 1.5));
+    tokens_at = now;
+    if (base_secs(now) < base_secs(held_off) || tokens < 1) return false;
+    tokens -= 1;
+    return true;
+}
+
+static enum http_outcome call(struct http_client *c, const char *method, const char *path, const char *body, cJSON **answer, long *status) {
+    char url[256];
+    snprintf(url, sizeof url, "http://%s%s", cfg->cloud, path);
+    enum http_outcome o = http_call(c, method, url, body, 5000, status, answer);
+    if (o == HTTP_ANSWERED && (*status == 429)) held_off = base_wall_in(base_span(1));
+    if (o != HTTP_ANSWERED || *status == 503) held_off = base_wall_in(base_span(0.5));
+    return o;
+}
+
+static void read_flavours(struct http_client *c) {
+    cJSON *a = NULL, *x;
+    long status;
+    if (call(c, "GET", "/flavors", NULL, &a, &status) == HTTP_ANSWERED && status == 200) {
+        store_lock();
+        cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(a, "flavours")) {
+            const char *sku = base_str(x, "sku");
+            if (!sku || strlen(sku) >= sizeof flavours[0].sku) continue;
+            struct flavour_info *f = (struct flavour_info *)cloud_flavour(sku);
+            if (!f && n_flavours == FLAVOURS_MOST) continue;
+            if (!f) f = &flavours[n_flavours++];
+            g_strlcpy(f->sku, sku, sizeof f->sku);
+            f->vcpus = base_num(x, "vcpus", 0);
+            f->gpus = base_num(x, "gpus", 0);
+            f->memory_gb = base_num(x, "memory_gb", 0);
+            f->local_gb = base_num(x, "local_gb", 0);
+            f->fetch_rate = base_num(x, "fetch_gb_per_s", 1);
+            f->hourly = base_num(x, "hourly", 1);
+            f->market = base_num(x, "market_price", f->hourly);
+            f->startup_s = base_num(x, "startup_s", 60);
+            const cJSON *s;
+            for (int i = 0; i < f->n_sites; i++) g_free(f->sites[i]);
+            f->n_sites = 0;
+            cJSON_ArrayForEach(s, cJSON_GetObjectItemCaseSensitive(x, "sites"))
+                if (cJSON_IsString(s) && f->n_sites < 32) f->sites[f->n_sites++] = g_strdup(s->valuestring);
+        }
+        store_unlock();
+    }
+    cJSON_Delete(a);
+}
+
+static void read_list(struct http_client *c) {
+    char since[64] = "";
+    bool more = true;
+    while (more) {
+        char path[200];
+        cJSON *a = NULL, *x;
+        long status;
+        snprintf(path, sizeof path, "/rentals?since=%s&most=500", since);
+        more = false;
+        if (call(c, "GET", path, NULL, &a, &status) == HTTP_ANSWERED && status == 200) {
+            store_lock();
+            cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(a, "hosts")) {
+                const char *id = base_str(x, "uid"), *address = base_str(x, "address"), *sku = base_str(x, "flavour"),
+                           *site = base_str(x, "site"), *state = base_str(x, "state");
+                if (!id || !sku || !site || !state || strlen(id) >= sizeof since) continue;
+                g_strlcpy(since, id, sizeof since);
+                struct machine *m = pool_find(id);
+                if (m && pool_mine(m)) {
+                    if (strcmp(state, "failed") == 0 && !m->want_return) {
+                        log_info("machine %s: listed as failed, returning it", id);
+                        m->want_return = true;
+                        pool_kick();
+                    }
+                    if (!m->address[0] && address) g_strlcpy(m->address, address, sizeof m->address);
+                } else if (!m && !pool_known(id) && strcmp(state, "failed") != 0 && base_num(x, "age_s", 0) > 15) {
+                    pool_stranger(id, address ? address : "", sku, site, base_flag(x, "reclaimable"));
+                }
+            }
+            store_unlock();
+            more = base_flag(a, "has_next");
+        }
+        cJSON_Delete(a);
+        if (more && !may_call()) more = false;
+    }
+}
+
+/* A claim is never used again, by nobody: the incarnation is random and the counter moves on. A claim whose answer is
+ * lost is asked again under its name until the cloud answers. */
+static struct {
+    bool open;
+    char claim[80];
+    struct rent_order order;
+} pending;
+static unsigned claims;
+
+static void rent(struct http_client *c) {
+    struct rent_order o = pending.order;
+    cJSON *b = cJSON_CreateObject(), *a = NULL;
+    cJSON_AddStringToObject(b, "claim", pending.claim);
+    cJSON_AddStringToObject(b, "flavour", o.sku);
+    cJSON_AddStringToObject(b, "site", o.site);
+    cJSON_AddBoolToObject(b, "reclaimable", o.spot);
+    cJSON_AddNumberToObject(b, "how_many", o.count);
+    char *text = cJSON_PrintUnformatted(b);
+    long status;
+    enum http_outcome out = call(c, "POST", "/rentals", text, &a, &status);
+    if (out == HTTP_ANSWERED && status == 200) {
+        const cJSON *x, *hosts = cJSON_GetObjectItemCaseSensitive(a, "hosts");
+        store_lock();
+        cJSON_ArrayForEach(x, hosts)
+            if (cJSON_IsString(x)) pool_rented(o.share, &o, x->valuestring);
+        note_capacity(&o, cJSON_GetArraySize(hosts) >= o.count);
+        store_unlock();
+        log_info("cloud: rented %d of %d %s in %s (%s) for share %d", cJSON_GetArraySize(hosts), o.count, o.sku, o.site,
+                 o.spot ? "spot" : "ordinary", o.share);
+        pending.open = false;
+    } else if (out == HTTP_ANSWERED && status == 503) {
+        const char *e = base_str(a, "error");
+        if (e && strcmp(e, "no capacity") == 0) {
+            held_off = base_now();
+            store_lock();
+            note_capacity(&o, false);
+            store_unlock();
+        }
+        pending.open = false;
+    } else if (out == HTTP_NOT_SENT || (out == HTTP_ANSWERED && status == 400)) {
+        pending.open = false;
+    }
+    free(text);
+    cJSON_Delete(b);
+    cJSON_Delete(a);
+}
+
+static void give_back(struct http_client *c, char ids[][64], int n) {
+    cJSON *b = cJSON_CreateObject(), *list = cJSON_AddArrayToObject(b, "hosts"), *a = NULL;
+    for (int i = 0; i < n; i++) cJSON_AddItemToArray(list, cJSON_CreateString(ids[i]));
+    char *text = cJSON_PrintUnformatted(b);
+    long status;
+    if (call(c, "POST", "/rentals/return", text, &a, &status) == HTTP_ANSWERED && status == 200) {
+        store_lock();
+        for (int i = 0; i < n; i++) {
+            pool_returned(ids[i]);
+            log_info("machine %s: returned", ids[i]);
+        }
+        store_unlock();
+    }
+    free(text);
+    cJSON_Delete(b);
+    cJSON_Delete(a);
+}
+
+static void *cloud_main(void *arg) {
+    (void)arg;
+    struct http_client *c = http_client_new();
+    struct timespec listed = {0, 0}, typed = {0, 0};
+    double list_every = MAX(5, 6 / cfg->cloud_rps * 3);
+    for (;;) {
+        pthread_mutex_lock(&kick_lock);
+        if (!kicked) base_cond_wait(&kick_cond, &kick_lock, base_span(0.25));
+        kicked = false;
+        pthread_mutex_unlock(&kick_lock);
+        if (!n_flavours || base_since(typed) > 120) {
+            if (!may_call()) continue;
+            read_flavours(c);
+            typed = base_now();
+            continue;
+        }
+        char ids[100][64];
+        struct rent_order orders[16];
+        store_lock();
+        int back = pool_return_plan(ids, 100), wants = 0;
+        if (!pending.open) wants = pool_rent_plan(orders, 16);
+        store_unlock();
+        if (pending.open || wants) {
+            if (!may_call()) continue;
+            if (!pending.open) {
+                pending.open = true;
+                pending.order = orders[0];
+                g_snprintf(pending.claim, sizeof pending.claim, "%s-%s-%u", cfg->node, membership_inc(), ++claims);
+            }
+            rent(c);
+            if (wants > 1) cloud_kick();
+        }
+        if (back && may_call()) give_back(c, ids, back);
+        if (base_since(listed) > list_every && may_call()) {
+            read_list(c);
+            listed = base_now();
+        }
+    }
+    return NULL;
+}
+
+void cloud_init(const struct settings *s) {
+    cfg = s;
+    closed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    tokens_at = base_now();
+    tokens = 1;
+    base_cond_init(&kick_cond);
+}
+
+void cloud_start(void) { base_thread(cloud_main, NULL); }
--- /dev/null
+++ b/src/cloud/cloud.h
@@ -0,0 +1,15 @@
+/* The cloud: machine types, rentals, returns, and the lagging list. */
+#ifndef FF_CLOUD_H
+#define FF_CLOUD_H
+#include "../jobs/jobs.h"
+
+void cloud_init(const struct settings *s);
+void cloud_start(void);
+void cloud_kick(void);
+/* With store_lock held. */
+bool cloud_flavours_known(void);
+const struct flavour_info *cloud_flavours(void);
+int cloud_flavours_count(void);
+const struct flavour_info *cloud_flavour(const char *sku);
+bool cloud_open(const char *sku, const char *site, bool spot); /* has not just refused */
+#endif
--- /dev/null
+++ b/src/jobs/jobs.c
@@ -0,0 +1,650 @@
+#include "jobs.h"
+
+#include <math.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../cloud/cloud.h"
+#include "../membership/membership.h"
+#include "../peers/peers.h"
+#include "../pool/pool.h"
+
+static const struct settings *cfg;
+static GHashTable *all;   /* uid -> job */
+static GPtrArray *active; /* oldest first */
+
+/* ---- pure parts ---- */
+
+bool jobs_uid_ok(const char *uid) {
+    size_t n = uid ? strlen(uid) : 0;
+    if (n < 5 || n > 40 || strncmp(uid, "req-", 4) != 0) return false;
+    for (size_t i = 4; i < n; i++)
+        if (uid[i] < '0' || uid[i] > '9') return false;
+    return true;
+}
+
+bool jobs_bit(const uint8_t *bits, int i) { return bits && (bits[i / 8] >> (i % 8) & 1); }
+
+char *jobs_bits_text(const uint8_t *bits, int from, int n) {
+    static const char hex[] = "0123456789abcdef";
+    int bytes = (n + 7) / 8;
+    char *t = g_malloc((gsize)bytes * 2 + 1);
+    for (int i = 0; i < bytes; i++) {
+        t[2 * i] = hex[bits[from / 8 + i] >> 4];
+        t[2 * i + 1] = hex[bits[from / 8 + i] & 15];
+    }
+    t[2 * bytes] = 0;
+    return t;
+}
+
+void jobs_bits_read(const char *text, uint8_t *bits, int from, int n) {
+    for (int i = 0; i < (n + 7) / 8 && text && text[2 * i] && text[2 * i + 1]; i++)
+        bits[from / 8 + i] |= (uint8_t)(g_ascii_xdigit_value(text[2 * i]) << 4 | g_ascii_xdigit_value(text[2 * i + 1]));
+}
+
+void jobs_spec_clear(struct job_spec *j) {
+    g_free(j->jobclass);
+    g_free(j->image);
+    g_free(j->site);
+    g_strfreev(j->flavours);
+    memset(j, 0, sizeof *j);
+}
+
+static int spec_from(const cJSON *o, const struct settings *s, struct job_spec *j, const char **bad) {
+    memset(j, 0, sizeof *j);
+    const char *v;
+#define NEED(cond, name) \
+    if (!(cond)) {       \
+        *bad = name;     \
+        return 400;      \
+    }
+    NEED(cJSON_IsObject(o), "body");
+    v = base_str(o, "uid");
+    NEED(jobs_uid_ok(v), "uid");
+    g_strlcpy(j->uid, v, sizeof j->uid);
+    v = base_str(o, "jobclass");
+    NEED(v && *v && strlen(v) < 200, "jobclass");
+    j->jobclass = g_strdup(v);
+    v = base_str(o, "owner");
+    NEED(v && *v, "owner");
+    j->team = settings_team(s, v);
+    v = base_str(o, "shape");
+    NEED(v && (!strcmp(v, "batch") || !strcmp(v, "group") || !strcmp(v, "standing")), "shape");
+    j->shape = v[0] == 'b' ? JOB_BATCH : v[0] == 'g' ? JOB_GROUP : JOB_STANDING;
+    v = base_str(o, "rank");
+    NEED(v && (!strcmp(v, "production") || !strcmp(v, "high") || !strcmp(v, "normal") || !strcmp(v, "idle")), "rank");
+    j->rank = v[0] == 'p' ? RANK_PRODUCTION : v[0] == 'h' ? RANK_HIGH : v[0] == 'n' ? RANK_NORMAL : RANK_IDLE;
+    int64_t n;
+    NEED(base_int(o, "tasks", &n) && n >= 1 && n <= JOB_TASKS_MOST, "tasks");
+    j->tasks = (int)n;
+    static const struct {
+        const char *name;
+        size_t at;
+        bool positive, nullable;
+    } amounts[] = {
+        {"vcpus", offsetof(struct job_spec, vcpus), true, false},
+        {"gpus", offsetof(struct job_spec, gpus), false, false},
+        {"memory_gb", offsetof(struct job_spec, memory_gb), false, false},
+        {"pull_gb", offsetof(struct job_spec, pull_gb), false, false},
+        {"runtime_s", offsetof(struct job_spec, runtime_s), false, false},
+        {"checkpoint_s", offsetof(struct job_spec, checkpoint_s), false, false},
+        {"flush_s", offsetof(struct job_spec, flush_s), false, false},
+        {"due_s", offsetof(struct job_spec, due_s), false, true},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(amounts); i++) {
+        const cJSON *x = cJSON_GetObjectItemCaseSensitive(o, amounts[i].name);
+        double d = cJSON_IsNumber(x) ? x->valuedouble : -1;
+        if (amounts[i].nullable && (!x || cJSON_IsNull(x))) d = 0;
+        NEED(isfinite(d) && d >= 0 && d < 1e9 && !(amounts[i].positive && d <= 0), amounts[i].name);
+        *(double *)(void *)((char *)j + amounts[i].at) = d;
+    }
+    v = base_str(o, "image");
+    NEED(v && *v && strlen(v) < 200, "image");
+    j->image = g_strdup(v);
+    const cJSON *x = cJSON_GetObjectItemCaseSensitive(o, "flavours"), *e;
+    if (x && !cJSON_IsNull(x)) {
+        NEED(cJSON_IsArray(x) && cJSON_GetArraySize(x) <= 100, "flavours");
+        cJSON_ArrayForEach(e, x) NEED(cJSON_IsString(e), "flavours");
+        j->flavours = g_new0(char *, (gsize)cJSON_GetArraySize(x) + 1);
+        int i = 0;
+        cJSON_ArrayForEach(e, x) j->flavours[i++] = g_strdup(e->valuestring);
+    }
+    x = cJSON_GetObjectItemCaseSensitive(o, "site");
+    if (x && !cJSON_IsNull(x)) {
+        NEED(cJSON_IsString(x) && *x->valuestring && strlen(x->valuestring) < 100, "site");
+        j->site = g_strdup(x->valuestring);
+    }
+    static const char *const flags[] = {"together", "spread", "reclaimable"};
+    bool *const into[] = {&j->together, &j->spread, &j->reclaimable};
+    for (int i = 0; i < 3; i++) {
+        x = cJSON_GetObjectItemCaseSensitive(o, flags[i]);
+        NEED(cJSON_IsBool(x), flags[i]);
+        *into[i] = cJSON_IsTrue(x);
+    }
+#undef NEED
+    return 0;
+}
+
+int jobs_parse(const char *body, size_t len, const struct settings *s, struct job_spec *out, char *field, size_t n) {
+    const char *bad = "body";
+    cJSON *o = cJSON_ParseWithLength(body, len);
+    int rc = spec_from(o, s, out, &bad);
+    if (rc) {
+        g_strlcpy(field, bad, n);
+        jobs_spec_clear(out);
+    }
+    cJSON_Delete(o);
+    return rc;
+}
+
+int jobs_feasible(const struct job_spec *j, const struct settings *s, const struct flavour_info *f, int nf, char *why, size_t n) {
+    if (j->team < 0) {
+        g_strlcpy(why, "owner: unknown team", n);
+        return 422;
+    }
+    bool fits = false;
+    for (int i = 0; i < nf && !fits; i++) {
+        if (j->flavours && !g_strv_contains((const char *const *)j->flavours, f[i].sku)) continue;
+        bool here = !j->site;
+        for (int z = 0; z < f[i].n_sites && !here; z++) here = strcmp(f[i].sites[z], j->site) == 0;
+        fits = here && j->vcpus <= f[i].vcpus + 1e-9 && j->gpus <= f[i].gpus + 1e-9 && j->memory_gb <= f[i].memory_gb + 1e-9;
+    }
+    if (!fits) {
+        g_strlcpy(why, "a task fits no allowed machine type", n);
+        return 422;
+    }
+    const struct settings_team *t = &s->teams[j->team];
+    double m = j->shape == JOB_BATCH ? 1 : j->tasks;
+    if ((t->cpus_max > 0 && m * j->vcpus > t->cpus_max + 1e-9) || (t->gpus_max > 0 && m * j->gpus > t->gpus_max + 1e-9)) {
+        g_strlcpy(why, "needs more than the team's limit", n);
+        return 422;
+    }
+    return 0;
+}
+
+/* ---- records ---- */
+
+struct job *jobs_find(const char *uid) { return g_hash_table_lookup(all, uid); }
+GPtrArray *jobs_active(void) { return active; }
+int jobs_share(const struct job *j) { return j->spec.team < 0 ? 0 : j->spec.team % cfg->size; }
+
+struct job *jobs_find_or_stub(const char *uid) {
+    struct job *j = jobs_find(uid);
+    if (j) return j;
+    j = g_new0(struct job, 1);
+    g_strlcpy(j->spec.uid, uid, sizeof j->spec.uid);
+    j->spec.team = -1;
+    j->bookings = g_ptr_array_new();
+    j->seen = base_now();
+    g_hash_table_insert(all, j->spec.uid, j);
+    return j;
+}
+
+static int older(gconstpointer a, gconstpointer b) {
+    const struct job *x = *(struct job *const *)a, *y = *(struct job *const *)b;
+    if (x->submitted < y->submitted) return -1;
+    return x->submitted > y->submitted ? 1 : strcmp(x->spec.uid, y->spec.uid);
+}
+
+static void count_bits(struct job *j) {
+    j->n_done = j->n_pend = 0;
+    for (int i = 0; i < j->spec.tasks; i++) {
+        j->n_done += jobs_bit(j->done, i);
+        j->n_pend += jobs_bit(j->pend, i);
+    }
+}
+
+static void apply_job(const char *uid, const cJSON *data, int64_t stamp) {
+    (void)stamp;
+    if (!data || !jobs_uid_ok(uid)) return;
+    struct job *j = jobs_find_or_stub(uid);
+    if (!j->known) {
+        const char *bad;
+        const cJSON *spec = cJSON_GetObjectItemCaseSensitive(data, "spec");
+        if (spec_from(spec, cfg, &j->spec, &bad) != 0) return;
+        j->known = true;
+        j->spec_text = cJSON_PrintUnformatted(spec);
+        j->submitted = base_num(data, "at", 0);
+        j->done = g_malloc0((gsize)j->spec.tasks / 8 + 1);
+        j->pend = g_malloc0((gsize)j->spec.tasks / 8 + 1);
+        g_ptr_array_add(active, j);
+        if (active->len > 1 && older(&active->pdata[active->len - 2], &active->pdata[active->len - 1]) > 0)
+            g_ptr_array_sort(active, older);
+    }
+    const char *bits = base_str(data, "done"), *state = base_str(data, "state");
+    if (bits && j->done) {
+        jobs_bits_read(bits, j->done, 0, j->spec.tasks);
+        jobs_bits_read(bits, j->pend, 0, j->spec.tasks);
+        count_bits(j);
+    }
+    enum job_state now = state && !strcmp(state, "done") ? JOB_DONE : state && !strcmp(state, "cancelled") ? JOB_CANCELLED : JOB_QUEUED;
+    if (j->state == JOB_QUEUED && now != JOB_QUEUED) {
+        j->state = now;
+        g_ptr_array_remove(active, j);
+        if (now == JOB_DONE) j->n_done = j->spec.tasks;
+        /* A final state is all that is asked for from now on. */
+        g_free(j->done);
+        g_free(j->pend);
+        free(j->spec_text);
+        j->done = j->pend = NULL;
+        j->spec_text = NULL;
+    }
+    pool_job_changed(j);
+}
+
+static void apply_done(const char *rest, const cJSON *data, int64_t stamp) {
+    (void)stamp;
+    char uid[64];
+    const char *slash = strchr(rest, '/');
+    if (!slash || !cJSON_IsString(data)) return;
+    g_strlcpy(uid, rest, MIN(sizeof uid, (size_t)(slash - rest) + 1));
+    struct job *j = jobs_find(uid);
+    int from = (int)g_ascii_strtoll(slash + 1, NULL, 10) * JOB_CHUNK;
+    if (!j || !j->done || from < 0 || from >= j->spec.tasks) return;
+    jobs_bits_read(data->valuestring, j->done, from, MIN(JOB_CHUNK, j->spec.tasks - from));
+    jobs_bits_read(data->valuestring, j->pend, from, MIN(JOB_CHUNK, j->spec.tasks - from));
+    count_bits(j);
+}
+
+void jobs_mark_done(struct job *j, int task) {
+    if (!j->pend || task >= j->spec.tasks) return;
+    /* A gang completes together: one task's word is enough for all. */
+    for (int i = j->spec.shape == JOB_GROUP ? 0 : task; i < (j->spec.shape == JOB_GROUP ? j->spec.tasks : task + 1); i++)
+        if (!jobs_bit(j->pend, i)) {
+            j->pend[i / 8] |= (uint8_t)(1 << (i % 8));
+            j->n_pend++;
+        }
+}
+
+bool jobs_dirty(const struct job *j) {
+    return j->state == JOB_QUEUED && j->pend && (j->n_pend > j->n_done || (j->n_done == j->spec.tasks && j->spec.shape != JOB_STANDING));
+}
+
+static cJSON *job_value(const char *spec_text, const char *state, const char *bits, double at) {
+    cJSON *o = cJSON_CreateObject();
+    cJSON_AddRawToObject(o, "spec", spec_text);
+    cJSON_AddStringToObject(o, "state", state);
+    if (bits) cJSON_AddStringToObject(o, "done", bits);
+    cJSON_AddNumberToObject(o, "at", at);
+    return o;
+}
+
+void jobs_adds(struct job *j, struct store_txn *t, int most) {
+    char key[128];
+    bool small = j->spec.tasks <= JOB_CHUNK, complete = j->n_pend == j->spec.tasks;
+    bool chunks_left = false;
+    for (int from = 0; !small && from < j->spec.tasks; from += JOB_CHUNK) {
+        int n = MIN(JOB_CHUNK, j->spec.tasks - from);
+        if (memcmp(j->done + from / 8, j->pend + from / 8, (size_t)(n + 7) / 8) == 0) continue;
+        if (t->writes >= most) {
+            chunks_left = true;
+            break;
+        }
+        char *bits = jobs_bits_text(j->pend, from, n);
+        snprintf(key, sizeof key, "done/%s/%d", j->spec.uid, from / JOB_CHUNK);
+        store_txn_if(t, key, store_stamp(key));
+        store_txn_set(t, key, cJSON_CreateString(bits), 0);
+        g_free(bits);
+    }
+    snprintf(key, sizeof key, "job/%s", j->spec.uid);
+    store_txn_if(t, key, store_stamp(key));
+    if ((small || (complete && !chunks_left)) && t->writes < most) {
+        char *bits = small ? jobs_bits_text(j->pend, 0, j->spec.tasks) : NULL;
+        store_txn_set(t, key, job_value(j->spec_text, complete ? "done" : "queued", complete ? NULL : bits, j->submitted), 0);
+        g_free(bits);
+    }
+}
+
+/* ---- the users' interface ---- */
+
+enum ask_kind { ASK_SUBMIT, ASK_POLL, ASK_CANCEL };
+struct ask {
+    enum ask_kind kind;
+    struct http_req *req;
+    char uid[64];
+    char *spec_text;
+    int infeasible; /* 422 unless the job is known */
+    char why[128];
+    struct timespec came;
+};
+
+/* Two queues with a thread each, so that a burst of submissions does not hold up polls. */
+struct lane {
+    pthread_mutex_t lock;
+    pthread_cond_t cond;
+    GQueue *q;
+};
+static struct lane lanes[2];
+#define ASKS_MOST 400
+
+static void ask_free(struct ask *a) {
+    g_free(a->spec_text);
+    g_free(a);
+}
+
+static const char *state_name(const struct job *j, int *running) {
+    *running = 0;
+    if (j->state == JOB_DONE) return "done";
+    if (j->state == JOB_CANCELLED) return "cancelled";
+    return jobs_running(j, running) ? "running" : "queued";
+}
+
+bool jobs_running(const struct job *j, int *running) {
+    int n = 0;
+    for (guint i = 0; i < j->bookings->len; i++) n += pool_booking_active(j->bookings->pdata[i]);
+    *running = n;
+    return n > 0;
+}
+
+static void reply_job(struct http_req *r, unsigned status, const char *uid, const char *state, int done, int running) {
+    char body[200];
+    snprintf(body, sizeof body, "{\"uid\":\"%s\",\"state\":\"%s\",\"done\":%d,\"running\":%d}", uid, state, done, running);
+    http_reply(r, status, body, 0);
+}
+
+static void refuse(struct http_req *r, unsigned status, const char *why, int after) {
+    char body[256];
+    snprintf(body, sizeof body, "{\"error\":\"%s\"}", why);
+    http_reply(r, status, body, after);
+}
+
+/* Answers from the record, which the caller has just seen confirmed. */
+static void answer_known(struct ask *a, const struct job *j) {
+    int running;
+    const char *s = state_name(j, &running);
+    reply_job(a->req, 200, a->uid, s, j->n_done, running);
+}
+
+static void push(int lane, struct ask *a) {
+    struct lane *l = &lanes[lane];
+    pthread_mutex_lock(&l->lock);
+    bool full = l->q->length >= ASKS_MOST;
+    if (!full) {
+        http_hold(a->req);
+        g_queue_push_tail(l->q, a);
+        pthread_cond_signal(&l->cond);
+    }
+    pthread_mutex_unlock(&l->lock);
+    if (full) {
+        refuse(a->req, 429, "too many requests wait here", 2);
+        ask_free(a);
+    }
+}
+
+static void on_submit(struct http_req *r) {
+    size_t len;
+    const char *body = http_body(r, &len);
+    struct job_spec spec;
+    char field[64] = "body", why[128] = "";
+    if (http_too_large(r)) {
+        refuse(r, 400, "body: above 64 KiB", 0);
+        return;
+    }
+    if (jobs_parse(body, len, cfg, &spec, field, sizeof field) != 0) {
+        char text[128];
+        snprintf(text, sizeof text, "%s: missing or invalid", field);
+        refuse(r, 400, text, 0);
+        return;
+    }
+    struct ask *a = g_new0(struct ask, 1);
+    a->kind = ASK_SUBMIT;
+    a->req = r;
+    a->came = base_now();
+    g_strlcpy(a->uid, spec.uid, sizeof a->uid);
+    store_lock();
+    struct job *j = jobs_find(spec.uid);
+    bool terminal = j && j->known && j->state != JOB_QUEUED, known = j && j->known;
+    bool ready = store_ready() && (known || cloud_flavours_known());
+    if (terminal) answer_known(a, j);
+    if (!known && ready) a->infeasible = jobs_feasible(&spec, cfg, cloud_flavours(), cloud_flavours_count(), why, sizeof why);
+    store_unlock();
+    g_strlcpy(a->why, why, sizeof a->why);
+    jobs_spec_clear(&spec);
+    if (terminal) {
+        ask_free(a);
+    } else if (!ready) {
+        refuse(r, 503, "machine types or state are not known yet", 1);
+        ask_free(a);
+    } else {
+        cJSON *o = cJSON_ParseWithLength(body, len);
+        a->spec_text = cJSON_PrintUnformatted(o);
+        cJSON_Delete(o);
+        push(0, a);
+    }
+}
+
+bool jobs_route(struct http_req *r) {
+    const char *p = http_path(r), *m = http_method(r);
+    if (strcmp(p, "/work") == 0) {
+        if (strcmp(m, "POST") == 0)
+            on_submit(r);
+        else
+            refuse(r, 405, "method not allowed", 0);
+        return true;
+    }
+    if (strncmp(p, "/work/", 6) != 0) return false;
+    char uid[64];
+    const char *slash = strchr(p + 6, '/');
+    bool cancel = slash && strcmp(slash, "/cancel") == 0;
+    if ((slash && !cancel) || strlen(p + 6) >= sizeof uid + 7) {
+        refuse(r, 404, "no such path", 0);
+        return true;
+    }
+    g_strlcpy(uid, p + 6, slash ? MIN(sizeof uid, (size_t)(slash - p - 6) + 1) : sizeof uid);
+    if (strcmp(m, cancel ? "POST" : "GET") != 0) {
+        refuse(r, 405, "method not allowed", 0);
+        return true;
+    }
+    if (!jobs_uid_ok(uid)) {
+        refuse(r, 404, "no such job", 0);
+        return true;
+    }
+    struct ask *a = g_new0(struct ask, 1);
+    a->kind = cancel ? ASK_CANCEL : ASK_POLL;
+    a->req = r;
+    a->came = base_now();
+    g_strlcpy(a->uid, uid, sizeof a->uid);
+    store_lock();
+    struct job *j = jobs_find(uid);
+    bool terminal = j && j->known && j->state != JOB_QUEUED, ready = store_ready();
+    if (terminal) answer_known(a, j);
+    store_unlock();
+    if (terminal) {
+        ask_free(a);
+    } else if (!ready) {
+        refuse(r, 503, "state is not known yet", 1);
+        ask_free(a);
+    } else {
+        push(cancel ? 0 : 1, a);
+    }
+    return true;
+}
+
+static void gather(struct lane *l, GPtrArray *batch, guint most) {
+    pthread_mutex_lock(&l->lock);
+    while (l->q->length == 0) base_cond_wait(&l->cond, &l->lock, base_span(10));
+    while (batch->len < most && l->q->length) g_ptr_array_add(batch, g_queue_pop_head(l->q));
+    pthread_mutex_unlock(&l->lock);
+}
+
+/* Polls: one compare-only transaction answers for a whole batch. */
+static void *poll_main(void *arg) {
+    (void)arg;
+    struct http_client *c = http_client_new();
+    GPtrArray *batch = g_ptr_array_new();
+    for (;;) {
+        g_ptr_array_set_size(batch, 0);
+        gather(&lanes[1], batch, (guint)cfg->txn_ops * 4);
+        struct store_txn t;
+        struct store_answer ans;
+        char key[96];
+        store_txn_init(&t);
+        store_lock();
+        for (guint i = 0; i < batch->len; i++) {
+            struct ask *a = batch->pdata[i];
+            snprintf(key, sizeof key, "job/%s", a->uid);
+            store_txn_if(&t, key, store_stamp(key));
+        }
+        store_unlock();
+        enum store_result rc = store_multi(c, STORE_ACCEPT, &t, &ans);
+        if (rc == STORE_CONFLICT)
+            for (guint i = 0; i < ans.failed->len; i++) store_refresh(c, ans.failed->pdata[i]);
+        for (guint i = 0; i < batch->len; i++) {
+            struct ask *a = batch->pdata[i];
+            if (rc != STORE_OK && rc != STORE_CONFLICT) {
+                refuse(a->req, 503, "the state service is out of reach", 2);
+            } else {
+                /* After a conflict the failed keys were read again, at a revision after the question came. A read
+                 * that failed leaves the older record: then it is not known, so not told. */
+                snprintf(key, sizeof key, "job/%s", a->uid);
+                store_lock();
+                struct job *j = jobs_find(a->uid);
+                bool moved = false;
+                for (guint f = 0; rc == STORE_CONFLICT && f < ans.failed->len; f++)
+                    if (strcmp(ans.failed->pdata[f], key) == 0) {
+                        const cJSON *x;
+                        int64_t was = -1;
+                        cJSON_ArrayForEach(x, t.conds) if (!strcmp(base_str(x, "path"), key)) base_int(x, "stamp", &was);
+                        moved = store_stamp(key) == was;
+                    }
+                if (moved)
+                    refuse(a->req, 503, "the state service did not answer", 1);
+                else if (j && j->known)
+                    answer_known(a, j);
+                else
+                    refuse(a->req, 404, "no such job", 0);
+                store_unlock();
+            }
+            ask_free(a);
+        }
+        store_answer_clear(&ans);
+        store_txn_free(&t);
+    }
+    return NULL;
+}
+
+static double time_of_day(void) {
+    struct timespec t;
+    clock_gettime(CLOCK_REALTIME, &t);
+    return base_secs(t);
+}
+
+/* Fills the transaction for one round of submissions and cancels; a job known by now needs a compare only. */
+static void accept_fill(GPtrArray *batch, struct store_txn *t) {
+    char key[96];
+    for (guint i = 0; i < batch->len; i++) {
+        struct ask *a = batch->pdata[i];
+        snprintf(key, sizeof key, "job/%s", a->uid);
+        struct job *j = jobs_find(a->uid);
+        bool twice = false;
+        for (guint k = 0; k < i; k++) twice |= strcmp(((struct ask *)batch->pdata[k])->uid, a->uid) == 0;
+        store_txn_if(t, key, store_stamp(key));
+        if (twice) continue;
+        if (a->kind == ASK_SUBMIT && !(j && j->known) && !a->infeasible) {
+            store_txn_set(t, key, job_value(a->spec_text, "queued", NULL, time_of_day()), 0);
+        } else if (a->kind == ASK_CANCEL && j && j->known && j->state == JOB_QUEUED) {
+            store_txn_set(t, key, job_value(j->spec_text, "cancelled", NULL, j->submitted), 0);
+        }
+    }
+}
+
+static void accept_answer(GPtrArray *batch, enum store_result rc, struct store_txn *t) {
+    for (guint i = 0; i < batch->len; i++) {
+        struct ask *a = batch->pdata[i];
+        char key[96];
+        snprintf(key, sizeof key, "job/%s", a->uid);
+        if (rc != STORE_OK) {
+            if (rc == STORE_REFUSED)
+                refuse(a->req, 429, "over the write budget, or the state service is away", 1);
+            else
+                refuse(a->req, 503, "the state service did not answer", 2);
+            ask_free(a);
+            continue;
+        }
+        bool wrote = false;
+        const cJSON *x;
+        cJSON_ArrayForEach(x, t->ops) wrote |= strcmp(base_str(x, "set"), key) == 0;
+        store_lock();
+        struct job *j = jobs_find(a->uid);
+        if (a->kind == ASK_SUBMIT) {
+            if (j && j->known && !wrote)
+                answer_known(a, j);
+            else if (j && j->known)
+                reply_job(a->req, 201, a->uid, "queued", 0, 0);
+            else
+                refuse(a->req, 422, a->why, 0);
+        } else if (j && j->known) {
+            if (j->state == JOB_QUEUED)
+                refuse(a->req, 503, "not decided yet", 1);
+            else
+                answer_known(a, j);
+        } else {
+            refuse(a->req, 404, "no such job", 0);
+        }
+        store_unlock();
+        ask_free(a);
+    }
+}
+
+static void *accept_main(void *arg) {
+    (void)arg;
+    struct http_client *c = http_client_new();
+    GPtrArray *batch = g_ptr_array_new();
+    for (;;) {
+        g_ptr_array_set_size(batch, 0);
+        gather(&lanes[0], batch, (guint)cfg->txn_ops);
+        enum store_result rc = STORE_REFUSED;
+        struct store_txn t;
+        store_txn_init(&t);
+        bool cancels = false;
+        for (guint i = 0; i < batch->len; i++) cancels |= ((struct ask *)batch->pdata[i])->kind == ASK_CANCEL;
+        for (int attempt = 0; attempt < 4; attempt++) {
+            struct store_answer ans;
+            store_txn_free(&t);
+            store_txn_init(&t);
+            store_lock();
+            accept_fill(batch, &t);
+            store_unlock();
+            rc = store_multi(c, cancels ? STORE_CANCEL : STORE_ACCEPT, &t, &ans);
+            if (rc == STORE_OK) {
+                const cJSON *x;
+                store_lock();
+                cJSON_ArrayForEach(x, t.ops) store_apply(base_str(x, "set"), cJSON_GetObjectItemCaseSensitive(x, "data"), ans.epoch);
+                store_unlock();
+                if (t.writes) peers_hint();
+            } else if (rc == STORE_CONFLICT) {
+                for (guint i = 0; i < ans.failed->len; i++) store_refresh(c, ans.failed->pdata[i]);
+            } else if (rc == STORE_UNKNOWN) {
+                /* The answer is lost: the keys tell whether it was applied. What may yet be applied late is a
+                 * submission that its user repeats, or a cancel that its user repeats. */
+                const cJSON *x;
+                cJSON_ArrayForEach(x, t.ops) store_refresh(c, base_str(x, "set"));
+            }
+            store_answer_clear(&ans);
+            if (rc == STORE_OK || rc == STORE_REFUSED || rc == STORE_BAD) break;
+        }
+        accept_answer(batch, rc, &t);
+        store_txn_free(&t);
+    }
+    return NULL;
+}
+
+void jobs_init(const struct settings *s) {
+    cfg = s;
+    all = g_hash_table_new(g_str_hash, g_str_equal);
+    active = g_ptr_array_new();
+    store_observe("job/", apply_job);
+    store_observe("done/", apply_done);
+}
+
+void jobs_start(void) {
+    for (int i = 0; i < 2; i++) {
+        pthread_mutex_init(&lanes[i].lock, NULL);
+        base_cond_init(&lanes[i].cond);
+        lanes[i].q = g_queue_new();
+    }
+    base_thread(accept_main, NULL);
+    base_thread(poll_main, NULL);
+}
--- /dev/null
+++ b/src/membership/membership.c
@@ -0,0 +1,279 @@
+#include "membership.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+#define NODES_MOST 64
+
+struct node {
+    char name[64], inc[40];
+    int64_t stamp;
+    struct timespec since;
+    bool live;
+};
+
+static const struct settings *cfg;
+static struct share shares[64];
+static struct node nodes[NODES_MOST];
+static int n_nodes;
+static char leader[64], leader_inc[40];
+static int64_t fence_value;
+static char my_inc[40];
+static int64_t my_lease;
+
+const struct share *membership_share(int k) { return &shares[k]; }
+int64_t membership_fence(void) { return fence_value; }
+const char *membership_inc(void) { return my_inc; }
+const char *membership_lowest(void) { return leader[0] ? leader : NULL; }
+
+bool membership_mine(int k) {
+    return store_ready() && shares[k].stamp && strcmp(shares[k].owner, cfg->node) == 0 &&
+           strcmp(shares[k].inc, my_inc) == 0 && store_epoch() >= shares[k].stamp;
+}
+
+bool membership_verified(void) {
+    /* A cancellation told elsewhere after our last look must be kept within cancel_s, and an answered report keeps
+     * tasks alive for lease_s more. The margin covers the clocks' drift and the way of an answer. */
+    double most = base_secs(cfg->cancel) - base_secs(cfg->lease) - 4.5 - 0.001 * base_secs(cfg->cancel);
+    return store_ready() && base_since(store_verified()) < most;
+}
+
+int membership_live(void) {
+    int n = 0;
+    for (int i = 0; i < n_nodes; i++) n += nodes[i].live;
+    return n > 0 ? n : 1;
+}
+
+static void apply_node(const char *rest, const cJSON *data, int64_t stamp) {
+    struct node *x = NULL;
+    for (int i = 0; i < n_nodes; i++)
+        if (strcmp(nodes[i].name, rest) == 0) x = &nodes[i];
+    if (!x) {
+        if (n_nodes == NODES_MOST) return;
+        x = &nodes[n_nodes++];
+        g_strlcpy(x->name, rest, sizeof x->name);
+    }
+    const char *inc = base_str(data, "inc");
+    if (data && (!x->live || strcmp(x->inc, inc ? inc : "") != 0)) x->since = base_now();
+    if (!data && x->live) log_info("controller %s is gone", rest);
+    x->live = data != NULL;
+    x->stamp = data ? stamp : 0;
+    g_strlcpy(x->inc, inc ? inc : "", sizeof x->inc);
+}
+
+static void apply_leader(const char *rest, const cJSON *data, int64_t stamp) {
+    (void)stamp;
+    if (*rest) return;
+    const char *n = base_str(data, "node"), *i = base_str(data, "inc");
+    g_strlcpy(leader, n ? n : "", sizeof leader);
+    g_strlcpy(leader_inc, i ? i : "", sizeof leader_inc);
+}
+
+static void apply_fence(const char *rest, const cJSON *data, int64_t stamp) {
+    (void)stamp;
+    if (*rest == 0 && cJSON_IsNumber(data)) fence_value = (int64_t)data->valuedouble;
+}
+
+static void apply_share(const char *rest, const cJSON *data, int64_t stamp) {
+    int k = (int)g_ascii_strtoll(rest, NULL, 10);
+    if (k < 0 || k >= 64) return;
+    struct share *s = &shares[k];
+    const char *o = base_str(data, "owner"), *i = base_str(data, "inc");
+    if (strcmp(s->owner, o ? o : "") != 0 || strcmp(s->inc, i ? i : "") != 0) {
+        s->changed = base_now();
+        log_info("share %d: owner %s", k, o ? o : "nobody");
+    }
+    g_strlcpy(s->owner, o ? o : "", sizeof s->owner);
+    g_strlcpy(s->inc, i ? i : "", sizeof s->inc);
+    s->stamp = data ? stamp : 0;
+    if (!base_int(data, "fence", &s->fence)) s->fence = 0;
+}
+
+void membership_init(const struct settings *s) {
+    cfg = s;
+    snprintf(my_inc, sizeof my_inc, "%08x%08x", g_random_int(), g_random_int());
+    store_observe("node/", apply_node);
+    store_observe("leader", apply_leader);
+    store_observe("fence", apply_fence);
+    store_observe("share/", apply_share);
+}
+
+int membership_plan(int size, const int *owner, int n, int *to) {
+    int held[NODES_MOST] = {0}, least = 0, most = 0;
+    if (n <= 0) return -1;
+    for (int k = 0; k < size; k++)
+        if (owner[k] >= 0) held[owner[k]]++;
+    for (int i = 1; i < n; i++) {
+        if (held[i] < held[least]) least = i;
+        if (held[i] > held[most]) most = i;
+    }
+    *to = least;
+    for (int k = 0; k < size; k++)
+        if (owner[k] < 0) return k;
+    if (held[most] - held[least] < 2) return -1;
+    for (int k = 0; k < size; k++)
+        if (owner[k] == most) return k;
+    return -1;
+}
+
+static cJSON *share_value(const char *owner, const char *inc, int64_t fence) {
+    cJSON *o = cJSON_CreateObject();
+    cJSON_AddStringToObject(o, "owner", owner);
+    cJSON_AddStringToObject(o, "inc", inc);
+    cJSON_AddNumberToObject(o, "fence", (double)fence);
+    return o;
+}
+
+static void add_me(struct store_txn *t) {
+    char key[96];
+    snprintf(key, sizeof key, "node/%s", cfg->node);
+    store_txn_if(t, key, store_stamp(key));
+}
+
+/* Gives share K to a node, moving the fence up. Called with the lock held; fills the transaction only. */
+static void give(struct store_txn *t, int k, const struct node *to) {
+    char key[96];
+    snprintf(key, sizeof key, "share/%d", k);
+    store_txn_if(t, key, shares[k].stamp);
+    store_txn_set(t, key, share_value(to->name, to->inc, fence_value + 1), 0);
+    store_txn_if(t, "fence", store_stamp("fence"));
+    store_txn_set(t, "fence", cJSON_CreateNumber((double)(fence_value + 1)), 0);
+    snprintf(key, sizeof key, "node/%s", to->name);
+    store_txn_if(t, key, to->stamp);
+    add_me(t);
+}
+
+static struct node *find_node(const char *name) {
+    for (int i = 0; i < n_nodes; i++)
+        if (strcmp(nodes[i].name, name) == 0) return &nodes[i];
+    return NULL;
+}
+
+/* One step of the duties that need the store: become leader, take back, give. True if something is to be sent. */
+static bool next_step(struct store_txn *t) {
+    struct node *me = find_node(cfg->node);
+    if (!store_ready() || !me || !me->live || strcmp(me->inc, my_inc) != 0) return false;
+    for (int k = 0; k < cfg->size; k++)
+        /* Ours from before a restart: no need to wait for anyone. */
+        if (strcmp(shares[k].owner, cfg->node) == 0 && strcmp(shares[k].inc, my_inc) != 0) {
+            give(t, k, me);
+            return true;
+        }
+    struct node *lead = leader[0] ? find_node(leader) : NULL;
+    if (!lead || !lead->live || strcmp(lead->inc, leader_inc) != 0) {
+        cJSON *o = cJSON_CreateObject();
+        cJSON_AddStringToObject(o, "node", cfg->node);
+        cJSON_AddStringToObject(o, "inc", my_inc);
+        store_txn_if(t, "leader", store_stamp("leader"));
+        add_me(t);
+        if (lead) {
+            char key[96];
+            snprintf(key, sizeof key, "node/%s", lead->name);
+            store_txn_if(t, key, lead->stamp);
+        }
+        store_txn_set(t, "leader", o, my_lease);
+        return true;
+    }
+    if (lead != me) return false;
+    int owner[64] = {0}, live[NODES_MOST], n = 0, to = -1, index[NODES_MOST];
+    for (int i = 0; i < n_nodes; i++) {
+        index[i] = -1;
+        if (nodes[i].live) {
+            index[i] = n;
+            live[n++] = i;
+        }
+    }
+    bool orphans = false;
+    for (int k = 0; k < cfg->size; k++) {
+        struct node *o = shares[k].owner[0] ? find_node(shares[k].owner) : NULL;
+        owner[k] = o && o->live ? index[o - nodes] : -1;
+        if (owner[k] < 0) orphans = true;
+    }
+    int k = membership_plan(cfg->size, owner, n, &to);
+    if (k < 0) return false;
+    struct node *target = &nodes[live[to]];
+    /* A planned shift waits until the newcomer has stayed a while, so that shares don't flap with it. */
+    if (!orphans && (base_since(target->since) < 5 || base_since(shares[k].changed) < 5)) return false;
+    if (orphans && shares[k].owner[0]) {
+        char key[96];
+        snprintf(key, sizeof key, "node/%s", shares[k].owner);
+        store_txn_if(t, key, 0);
+    }
+    give(t, k, target);
+    log_info("share %d: giving it to %s", k, target->name);
+    return true;
+}
+
+static void join(struct http_client *c) {
+    int64_t lease;
+    if (store_grant(c, cfg->tuning.node_lease, &lease) != STORE_OK) return;
+    char key[96];
+    struct store_txn t;
+    struct store_answer a;
+    snprintf(key, sizeof key, "node/%s", cfg->node);
+    store_refresh(c, key);
+    store_txn_init(&t);
+    cJSON *o = cJSON_CreateObject();
+    cJSON_AddStringToObject(o, "inc", my_inc);
+    store_lock();
+    store_txn_if(&t, key, store_stamp(key));
+    store_unlock();
+    store_txn_set(&t, key, o, lease);
+    if (store_multi(c, STORE_RENEW, &t, &a) == STORE_OK) {
+        store_lock();
+        my_lease = lease;
+        store_apply(key, cJSON_GetObjectItemCaseSensitive(cJSON_GetArrayItem(t.ops, 0), "data"), a.epoch);
+        store_unlock();
+        log_info("joined as %s/%s", cfg->node, my_inc);
+    }
+    store_answer_clear(&a);
+    store_txn_free(&t);
+}
+
+static void *membership_main(void *arg) {
+    (void)arg;
+    struct http_client *c = http_client_new();
+    struct timespec renewed = base_now();
+    for (;;) {
+        if (!my_lease) {
+            join(c);
+            renewed = base_now();
+            if (!my_lease) base_sleep(base_span(0.4));
+            continue;
+        }
+        if (base_since(renewed) > base_secs(cfg->tuning.node_lease) / 4) {
+            enum store_result r = store_renew(c, my_lease);
+            if (r == STORE_OK) renewed = base_now();
+            if (r == STORE_CONFLICT) {
+                log_info("our lease has ended; joining anew");
+                my_lease = 0;
+                continue;
+            }
+        }
+        struct store_txn t;
+        struct store_answer a;
+        store_txn_init(&t);
+        store_lock();
+        bool send = next_step(&t);
+        store_unlock();
+        if (send) {
+            enum store_result r = store_multi(c, STORE_RENEW, &t, &a);
+            if (r == STORE_OK) {
+                const cJSON *x;
+                store_lock();
+                cJSON_ArrayForEach(x, t.ops) store_apply(base_str(x, "set"), cJSON_GetObjectItemCaseSensitive(x, "data"), a.epoch);
+                store_unlock();
+            } else if (r == STORE_CONFLICT) {
+                for (guint i = 0; i < a.failed->len; i++) store_refresh(c, a.failed->pdata[i]);
+            }
+            store_answer_clear(&a);
+            store_nudge();
+        }
+        store_txn_free(&t);
+        base_sleep(base_span(send ? 0.05 : 0.2));
+    }
+    return NULL;
+}
+
+void membership_start(void) { base_thread(membership_main, NULL); }
--- /dev/null
+++ b/src/membership/membership.h
@@ -0,0 +1,26 @@
+/* Who lives, who leads, who owns which share. */
+#ifndef FF_MEMBERSHIP_H
+#define FF_MEMBERSHIP_H
+#include "../store/store.h"
+
+struct share {
+    char owner[64], inc[40];
+    int64_t stamp, fence;
+    struct timespec changed;
+};
+
+void membership_init(const struct settings *s);
+void membership_start(void);
+
+/* All of these with store_lock held. */
+const struct share *membership_share(int k);
+bool membership_mine(int k);     /* share K is ours, and the mirror holds all that its former owner wrote */
+bool membership_verified(void);  /* recent enough to answer workers: a cancellation told elsewhere can still be kept */
+int membership_live(void);       /* live controllers */
+int64_t membership_fence(void);  /* the counter as mirrored */
+const char *membership_inc(void);
+const char *membership_lowest(void); /* name of the leader, or NULL */
+
+/* Pure: the share to move and where, so that the owned counts differ by one at most. -1: nothing to move. */
+int membership_plan(int size, const int *owner, int nodes, int *to);
+#endif
--- /dev/null
+++ b/src/peers/peers.c
@@ -0,0 +1,77 @@
+#include "peers.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../store/store.h"
+
+static const struct settings *cfg;
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t cond;
+static unsigned hints;
+static struct timespec saw[SETTINGS_SEEDS]; /* when that peer last told of a store it had just seen */
+
+static void on_peer(struct http_req *r, void *ctx) {
+    (void)ctx;
+    if (strcmp(http_path(r), "/hint") == 0) store_nudge();
+    store_lock();
+    double age = store_ready() ? base_since(store_verified()) : 1e6;
+    store_unlock();
+    char body[64];
+    snprintf(body, sizeof body, "{\"store_age_s\":%.2f}", age);
+    http_reply(r, 200, body, 0);
+}
+
+static void *peer_main(void *arg) {
+    int i = (int)(intptr_t)arg;
+    struct http_client *c = http_client_new();
+    unsigned told = 0;
+    struct timespec asked = {0, 0};
+    char url[128];
+    for (;;) {
+        pthread_mutex_lock(&lock);
+        if (told == hints) base_cond_wait(&cond, &lock, base_span(1));
+        bool hint = told != hints;
+        told = hints;
+        pthread_mutex_unlock(&lock);
+        if (!hint && base_since(asked) < 1) continue;
+        snprintf(url, sizeof url, "http://%s/%s", cfg->seeds[i].address, hint ? "hint" : "age");
+        long status;
+        cJSON *a = NULL;
+        asked = base_now();
+        if (http_call(c, "GET", url, NULL, 700, &status, &a) == HTTP_ANSWERED && base_num(a, "store_age_s", 1e6) < 4) {
+            pthread_mutex_lock(&lock);
+            saw[i] = base_now();
+            pthread_mutex_unlock(&lock);
+        }
+        cJSON_Delete(a);
+    }
+    return NULL;
+}
+
+void peers_init(const struct settings *s) {
+    cfg = s;
+    base_cond_init(&cond);
+}
+
+bool peers_start(void) {
+    if (!http_serve(cfg->cluster_listen, 64, on_peer, NULL)) return false;
+    for (int i = 0; i < cfg->n_seeds; i++) base_thread(peer_main, (void *)(intptr_t)i);
+    return true;
+}
+
+void peers_hint(void) {
+    pthread_mutex_lock(&lock);
+    hints++;
+    pthread_cond_broadcast(&cond);
+    pthread_mutex_unlock(&lock);
+}
+
+bool peers_see_store(void) {
+    bool yes = false;
+    pthread_mutex_lock(&lock);
+    for (int i = 0; i < cfg->n_seeds; i++) yes |= saw[i].tv_sec && base_since(saw[i]) < 3;
+    pthread_mutex_unlock(&lock);
+    return yes;
+}
--- /dev/null
+++ b/src/peers/peers.h
@@ -0,0 +1,11 @@
+/* What controllers tell one another: hints to look at the store, and how long since each saw it. */
+#ifndef FF_PEERS_H
+#define FF_PEERS_H
+#include "../base/base.h"
+#include "../settings/settings.h"
+
+void peers_init(const struct settings *s);
+bool peers_start(void);
+void peers_hint(void);   /* something new is in the store */
+bool peers_see_store(void); /* a peer reached the store lately */
+#endif
--- /dev/null
+++ b/src/placement/placement.c
@@ -0,0 +1,78 @@
+#include "placement.h"
+
+#include <string.h>
+
+bool placement_fits(const struct machine *m, const struct job_spec *j) {
+    const struct flavour_info *f = m->flavour;
+    if (!f) return false;
+    return m->used_cpu + j->vcpus <= f->vcpus + 1e-6 && m->used_gpu + j->gpus <= f->gpus + 1e-6 &&
+           m->used_mem + j->memory_gb <= f->memory_gb + 1e-6;
+}
+
+bool placement_allowed(const struct machine *m, const struct job *j, const char *together_site, GArray *plans) {
+    const struct job_spec *s = &j->spec;
+    if (m->spot && !s->reclaimable) return false;
+    if (s->flavours && !g_strv_contains((const char *const *)s->flavours, m->sku)) return false;
+    if (s->site && strcmp(s->site, m->site) != 0) return false;
+    if (s->together && together_site && strcmp(together_site, m->site) != 0) return false;
+    if (s->spread) {
+        /* Tasks that are ending count until they are proven gone. */
+        int here = 0;
+        for (guint i = 0; i < j->bookings->len; i++)
+            here += strcmp(((struct booking *)j->bookings->pdata[i])->m->site, m->site) == 0;
+        for (guint i = 0; plans && i < plans->len; i++) {
+            struct placement_plan *p = &g_array_index(plans, struct placement_plan, i);
+            here += p->j == j && strcmp(p->m->site, m->site) == 0;
+        }
+        if (here >= (s->tasks + 1) / 2) return false;
+    }
+    return true;
+}
+
+double placement_occupancy(const struct machine *m, int window) {
+    double sum[3] = {0, 0, 0}, most = 0;
+    int n = MIN(m->rows, window);
+    if (n == 0) return 0;
+    for (int i = 0; i < n; i++)
+        for (int k = 0; k < 3; k++) sum[k] += m->occ[(m->rows - 1 - i) % POOL_WINDOW][k];
+    for (int k = 0; k < 3; k++) most = MAX(most, sum[k] / n);
+    return most;
+}
+
+double placement_headroom(int n, double occupied, double reception, double admission) {
+    return n == 0 ? 0 : reception + (n - 1) * admission - occupied;
+}
+
+struct machine *placement_pick(GPtrArray *machines, const struct job *j, const char *zone, const struct placement_rules *r,
+                               GArray *plans) {
+    struct machine *best = NULL;
+    double best_score = 0;
+    const char *together = NULL;
+    if (j->spec.together) {
+        if (j->bookings->len) together = ((struct booking *)j->bookings->pdata[0])->m->site;
+        for (guint i = 0; plans && !together && i < plans->len; i++) {
+            struct placement_plan *p = &g_array_index(plans, struct placement_plan, i);
+            if (p->j == j) together = p->m->site;
+        }
+    }
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (!m->open || (zone && strcmp(zone, m->site) != 0)) continue;
+        if (!placement_fits(m, &j->spec) || !placement_allowed(m, j, together, plans)) continue;
+        bool reception = m == r->reception_machine;
+        /* Reception first under its threshold, then the least occupied under the admission threshold. */
+        double score = reception && m->occupancy < r->reception ? 3 : m->occupancy < r->admission ? 2 - m->occupancy : 0.5 - m->occupancy / 4;
+        if (!reception && m->occupancy >= r->admission) score = 0.2;
+        /* Cheap machines for those who may use them; then an image at hand, which is worth more than the order
+         * among machines that all have room: a fetch lasts longer than the whole wait a user accepts. */
+        if (j->spec.reclaimable) score += m->spot ? 40 : 0;
+        if (g_hash_table_contains(m->images, j->spec.image)) score += 10;
+        /* Faulty or slow ones last. */
+        score -= 60.0 * m->faults;
+        if (!best || score > best_score) {
+            best = m;
+            best_score = score;
+        }
+    }
+    return best;
+}
--- /dev/null
+++ b/src/placement/placement.h
@@ -0,0 +1,30 @@
+/* Where a task may and should go: decisions on the state at hand, with no I/O and no clock of their own. */
+#ifndef FF_PLACEMENT_H
+#define FF_PLACEMENT_H
+#include "../jobs/jobs.h"
+#include "../pool/pool.h"
+
+struct placement_rules {
+    double reception, admission;
+    const struct machine *reception_machine;
+};
+
+/* Room left on a machine, counting what is booked and what this round has planned. */
+bool placement_fits(const struct machine *m, const struct job_spec *j);
+/* Kind, type and zone, given where the job's other tasks are (planned ones included). */
+bool placement_allowed(const struct machine *m, const struct job *j, const char *together_site, GArray *plans);
+/* The best machine for one task of the job, or NULL. zone: only there, or NULL. */
+struct machine *placement_pick(GPtrArray *machines, const struct job *j, const char *zone, const struct placement_rules *r,
+                               GArray *plans);
+/* Occupancy: per component the mean over the window, then the largest; an empty window reads 0. */
+double placement_occupancy(const struct machine *m, int window);
+/* The ledger: headroom H = C - O. */
+double placement_headroom(int n, double occupied, double reception, double admission);
+
+struct placement_plan {
+    struct machine *m;
+    struct job *j;
+    int task;
+    int64_t attempt;
+};
+#endif
--- /dev/null
+++ b/src/pool/pool.c
@@ -0,0 +1,967 @@
+#include "pool.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../cloud/cloud.h"
+#include "../membership/membership.h"
+#include "../placement/placement.h"
+#include "../workers/workers.h"
+
+static const struct settings *cfg;
+static GHashTable *by_id;
+static GPtrArray *machines;
+static GHashTable *gone; /* ids that were ours and are no more: a stale list must not bring them back */
+
+struct newcomer {
+    char id[64], address[64], sku[64], site[64];
+    bool spot;
+    int share;
+};
+static GHashTable *newcomers; /* id -> newcomer: rented or found, not yet recorded */
+
+/* What the owner remembers of a share. */
+struct share_state {
+    int64_t fence;
+    int64_t next;      /* counter of attempts under this fence */
+    bool barrier;      /* a transaction's outcome is unknown: nothing more before the share's stamp has moved */
+    struct timespec since, ledger_at;
+    bool fit_nowhere;
+};
+static struct share_state states[64];
+
+static pthread_mutex_t kick_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t kick_cond;
+static bool kicked;
+
+void pool_kick(void) {
+    pthread_mutex_lock(&kick_lock);
+    kicked = true;
+    pthread_cond_signal(&kick_cond);
+    pthread_mutex_unlock(&kick_lock);
+}
+
+static double time_of_day(void) {
+    struct timespec t;
+    clock_gettime(CLOCK_REALTIME, &t);
+    return base_secs(t);
+}
+
+/* ---- records ---- */
+
+struct machine *pool_find(const char *id) { return g_hash_table_lookup(by_id, id); }
+GPtrArray *pool_machines(void) { return machines; }
+bool pool_booking_active(const struct booking *b) { return !b->over; }
+
+int pool_share_of(const char *id) {
+    const char *dash = strrchr(id, '-');
+    return dash ? (int)(g_ascii_strtoull(dash + 1, NULL, 10) % (guint64)cfg->size) : 0;
+}
+
+int64_t pool_token(const struct machine *m) { return MAX(m->fence, membership_share(m->share)->fence); }
+
+bool pool_known(const char *id) {
+    return g_hash_table_contains(by_id, id) || g_hash_table_contains(newcomers, id) || g_hash_table_contains(gone, id);
+}
+
+static void booking_free(struct booking *b) {
+    g_ptr_array_remove(b->job->bookings, b);
+    g_free(b);
+}
+
+static void machine_free(struct machine *m) {
+    while (m->bookings->len) {
+        struct booking *b = m->bookings->pdata[m->bookings->len - 1];
+        g_ptr_array_set_size(m->bookings, (gint)m->bookings->len - 1);
+        booking_free(b);
+    }
+    g_hash_table_remove(by_id, m->id);
+    g_ptr_array_remove(machines, m);
+    g_ptr_array_free(m->bookings, TRUE);
+    g_array_free(m->strays, TRUE);
+    g_hash_table_destroy(m->images);
+    g_free(m);
+}
+
+static struct booking *find_booking(struct machine *m, const char *uid, int task, int64_t attempt) {
+    for (guint i = 0; i < m->bookings->len; i++) {
+        struct booking *b = m->bookings->pdata[i];
+        if (b->attempt == attempt && b->task == task && strcmp(b->job->spec.uid, uid) == 0) return b;
+    }
+    return NULL;
+}
+
+static void apply_machine(const char *id, const cJSON *data, int64_t stamp) {
+    (void)stamp;
+    struct machine *m = pool_find(id);
+    g_hash_table_remove(newcomers, id);
+    if (!data) {
+        g_hash_table_add(gone, g_strdup(id));
+        if (m) machine_free(m);
+        pool_kick();
+        return;
+    }
+    if (!m) {
+        m = g_new0(struct machine, 1);
+        g_strlcpy(m->id, id, sizeof m->id);
+        m->bookings = g_ptr_array_new();
+        m->strays = g_array_new(FALSE, FALSE, sizeof(struct stray));
+        m->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+        m->warning = -1;
+        m->share = -1;
+        g_hash_table_insert(by_id, m->id, m);
+        g_ptr_array_add(machines, m);
+    }
+    int64_t share = 0;
+    base_int(data, "share", &share);
+    if (share >= cfg->size) share = 0;
+    if (m->share != (int)share) m->owned_fence = 0;
+    m->share = (int)share;
+    if (!base_int(data, "fence", &m->fence)) m->fence = 0;
+    const char *v;
+    if ((v = base_str(data, "address")) && *v) g_strlcpy(m->address, v, sizeof m->address);
+    if ((v = base_str(data, "flavour"))) g_strlcpy(m->sku, v, sizeof m->sku);
+    if ((v = base_str(data, "site"))) g_strlcpy(m->site, v, sizeof m->site);
+    m->spot = base_flag(data, "spot");
+    m->returning = base_flag(data, "ret");
+    m->born = base_num(data, "born", 0);
+    const cJSON *list = cJSON_GetObjectItemCaseSensitive(data, "b"), *x;
+    GPtrArray *keep = g_ptr_array_new();
+    cJSON_ArrayForEach(x, list) {
+        const cJSON *u = cJSON_GetArrayItem(x, 0), *t = cJSON_GetArrayItem(x, 1), *a = cJSON_GetArrayItem(x, 2);
+        if (!cJSON_IsString(u) || !cJSON_IsNumber(t) || !cJSON_IsNumber(a)) continue;
+        int64_t attempt = (int64_t)a->valuedouble;
+        struct booking *b = find_booking(m, u->valuestring, t->valueint, attempt);
+        if (!b) {
+            b = g_new0(struct booking, 1);
+            b->job = jobs_find_or_stub(u->valuestring);
+            b->m = m;
+            b->task = t->valueint;
+            b->attempt = attempt;
+            b->booked = b->changed = base_now();
+            b->stop = b->job->state != JOB_QUEUED;
+            g_ptr_array_add(b->job->bookings, b);
+        }
+        g_ptr_array_add(keep, b);
+    }
+    for (guint i = 0; i < m->bookings->len; i++)
+        if (!g_ptr_array_find(keep, m->bookings->pdata[i], NULL)) booking_free(m->bookings->pdata[i]);
+    g_ptr_array_free(m->bookings, TRUE);
+    m->bookings = keep;
+    if (keep->len) m->had_task = true;
+}
+
+bool pool_mine(struct machine *m) {
+    if (!membership_mine(m->share)) return false;
+    int64_t f = membership_share(m->share)->fence;
+    if (m->owned_fence == f) return true;
+    m->owned_fence = f;
+    m->heard = m->mine_since = base_now();
+    m->unknown = m->need_raise = m->draining = m->want_return = m->dead = false;
+    m->seen_fence = 0;
+    m->up = m->bookings->len > 0;
+    m->rows = 0;
+    m->hello = m->kick = m->address[0] != 0;
+    for (guint i = 0; i < m->bookings->len; i++) {
+        struct booking *b = m->bookings->pdata[i];
+        b->seen = b->over = b->done = b->stop_sent = false;
+        b->state = TASK_UNSEEN;
+        b->stop = b->job->state != JOB_QUEUED;
+        b->grace_s = 0;
+    }
+    return true;
+}
+
+void pool_row(struct machine *m) {
+    double c = 0, g = 0, r = 0;
+    for (guint i = 0; i < m->bookings->len; i++) {
+        const struct job_spec *s = &((struct booking *)m->bookings->pdata[i])->job->spec;
+        c += s->vcpus;
+        g += s->gpus;
+        r += s->memory_gb;
+    }
+    const struct flavour_info *f = m->flavour ? m->flavour : (m->flavour = cloud_flavour(m->sku));
+    if (!f) return;
+    double *row = m->occ[m->rows % POOL_WINDOW];
+    row[0] = f->vcpus > 0 ? c / f->vcpus : 0;
+    row[1] = f->memory_gb > 0 ? r / f->memory_gb : 0;
+    row[2] = f->gpus > 0 ? g / f->gpus : 0;
+    m->rows++;
+}
+
+void pool_job_changed(struct job *j) {
+    if (j->state != JOB_QUEUED)
+        for (guint i = 0; i < j->bookings->len; i++) {
+            struct booking *b = j->bookings->pdata[i];
+            if (j->state == JOB_DONE && j->spec.shape == JOB_GROUP) continue; /* they complete together */
+            b->stop = true;
+            b->grace_s = 0;
+            b->m->kick = true;
+        }
+    pool_kick();
+    workers_kick();
+}
+
+void pool_stranger(const char *id, const char *address, const char *sku, const char *site, bool spot) {
+    int k = pool_share_of(id);
+    if (pool_known(id) || !membership_mine(k)) return;
+    struct newcomer *n = g_new0(struct newcomer, 1);
+    g_strlcpy(n->id, id, sizeof n->id);
+    g_strlcpy(n->address, address, sizeof n->address);
+    g_strlcpy(n->sku, sku, sizeof n->sku);
+    g_strlcpy(n->site, site, sizeof n->site);
+    n->spot = spot;
+    n->share = k;
+    g_hash_table_insert(newcomers, n->id, n);
+    log_info("machine %s: unexpected, adopting it for share %d", id, k);
+    pool_kick();
+}
+
+void pool_rented(int share, const struct rent_order *o, const char *id) {
+    if (pool_find(id)) return;
+    struct newcomer *n = g_new0(struct newcomer, 1);
+    g_strlcpy(n->id, id, sizeof n->id);
+    g_strlcpy(n->sku, o->sku, sizeof n->sku);
+    g_strlcpy(n->site, o->site, sizeof n->site);
+    n->spot = o->spot;
+    n->share = share;
+    g_hash_table_insert(newcomers, n->id, n);
+    pool_kick();
+}
+
+static cJSON *machine_value(const struct machine *m, int64_t fence, bool returning) {
+    cJSON *o = cJSON_CreateObject();
+    cJSON_AddNumberToObject(o, "share", m->share);
+    cJSON_AddNumberToObject(o, "fence", (double)fence);
+    cJSON_AddStringToObject(o, "address", m->address);
+    cJSON_AddStringToObject(o, "flavour", m->sku);
+    cJSON_AddStringToObject(o, "site", m->site);
+    cJSON_AddBoolToObject(o, "spot", m->spot);
+    if (returning) cJSON_AddBoolToObject(o, "ret", true);
+    cJSON_AddNumberToObject(o, "born", m->born);
+    return o;
+}
+
+static cJSON *booking_value(const char *uid, int task, int64_t attempt) {
+    cJSON *x = cJSON_CreateArray();
+    cJSON_AddItemToArray(x, cJSON_CreateString(uid));
+    cJSON_AddItemToArray(x, cJSON_CreateNumber(task));
+    cJSON_AddItemToArray(x, cJSON_CreateNumber((double)attempt));
+    return x;
+}
+
+/* ---- a round: decide under the lock, write outside it, apply what was written ---- */
+
+struct round {
+    int share;
+    GArray *plans;   /* placement_plan */
+    GPtrArray *txns; /* store_txn */
+    bool more;
+};
+
+static struct store_txn *round_txn(struct round *r, int writes, int conds) {
+    struct store_txn *t = r->txns->len ? r->txns->pdata[r->txns->len - 1] : NULL;
+    if (!t || t->writes + writes > cfg->txn_ops || cJSON_GetArraySize(t->conds) + conds > cfg->txn_ops * 4) {
+        t = g_new0(struct store_txn, 1);
+        store_txn_init(t);
+        char key[32];
+        snprintf(key, sizeof key, "share/%d", r->share);
+        store_txn_if(t, key, membership_share(r->share)->stamp);
+        g_ptr_array_add(r->txns, t);
+    }
+    return t;
+}
+
+static struct machine *reception_of(int k) {
+    struct machine *best = NULL;
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->share != k || m->spot || m->returning || m->want_return || m->dead || !m->up || m->warning >= 0) continue;
+        if (!best || m->born < best->born || (m->born == best->born && strcmp(m->id, best->id) < 0)) best = m;
+    }
+    return best;
+}
+
+static void scratch(int k) {
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->share != k || !pool_mine(m)) continue;
+        if (!m->flavour) m->flavour = cloud_flavour(m->sku);
+        m->touched = false;
+        m->occupancy = placement_occupancy(m, (int)cfg->tuning.window);
+        m->used_cpu = m->used_gpu = m->used_mem = 0;
+        for (guint b = 0; b < m->bookings->len; b++) {
+            struct booking *x = m->bookings->pdata[b];
+            if (x->over) {
+                m->touched = true;
+                continue;
+            }
+            m->used_cpu += x->job->spec.vcpus;
+            m->used_gpu += x->job->spec.gpus;
+            m->used_mem += x->job->spec.memory_gb;
+        }
+        double quiet = base_secs(cfg->report) * 2 + 1;
+        m->open = m->up && m->flavour && !m->returning && !m->want_return && !m->dead && !m->draining && m->warning < 0 &&
+                  !m->need_raise && !m->unknown && m->seen_fence >= pool_token(m) && base_since(m->heard) < quiet &&
+                  m->bookings->len < (guint)(cfg->value_kb * 1024 / 64) - 6;
+    }
+}
+
+struct ranked {
+    struct job *j;
+    bool within;
+};
+
+static int rank_order(gconstpointer a, gconstpointer b) {
+    const struct ranked *x = a, *y = b;
+    if (x->within != y->within) return x->within ? -1 : 1;
+    if (x->j->spec.rank != y->j->spec.rank) return x->j->spec.rank > y->j->spec.rank ? -1 : 1;
+    if (x->j->submitted != y->j->submitted) return x->j->submitted < y->j->submitted ? -1 : 1;
+    return strcmp(x->j->spec.uid, y->j->spec.uid);
+}
+
+static bool has_guarantee(const struct settings_team *t) { return t->cpus > 0 || t->gpus > 0; }
+
+/* The share's unfinished jobs: those within a guarantee first, then by rank, then by age. */
+static GArray *rank_jobs(int k) {
+    GArray *out = g_array_new(FALSE, FALSE, sizeof(struct ranked));
+    double cpu[SETTINGS_TEAMS] = {0}, gpu[SETTINGS_TEAMS] = {0};
+    GPtrArray *jobs = jobs_active();
+    for (guint i = 0; i < jobs->len; i++) {
+        struct job *j = jobs->pdata[i];
+        if (jobs_share(j) != k || j->spec.team < 0) continue;
+        const struct settings_team *t = &cfg->teams[j->spec.team];
+        int left = j->spec.tasks - j->n_pend;
+        cpu[j->spec.team] += left * j->spec.vcpus;
+        gpu[j->spec.team] += left * j->spec.gpus;
+        struct ranked r = {j, has_guarantee(t) && (t->cpus <= 0 || cpu[j->spec.team] <= t->cpus + 1e-6) &&
+                                  (t->gpus <= 0 || gpu[j->spec.team] <= t->gpus + 1e-6)};
+        g_array_append_val(out, r);
+    }
+    g_array_sort(out, rank_order);
+    return out;
+}
+
+static bool booked_task(const struct job *j, int task) {
+    for (guint i = 0; i < j->bookings->len; i++)
+        if (((struct booking *)j->bookings->pdata[i])->task == task) return true;
+    return false;
+}
+
+static bool planned_task(const GArray *plans, const struct job *j, int task) {
+    for (guint i = 0; i < plans->len; i++) {
+        const struct placement_plan *p = &g_array_index(plans, struct placement_plan, i);
+        if (p->j == j && p->task == task) return true;
+    }
+    return false;
+}
+
+static void take(struct machine *m, const struct job_spec *s, int sign) {
+    m->used_cpu += sign * s->vcpus;
+    m->used_gpu += sign * s->gpus;
+    m->used_mem += sign * s->memory_gb;
+}
+
+struct usage {
+    double cpu, gpu;
+};
+
+static bool quota_left(const struct usage *u, const struct job_spec *s, int tasks) {
+    const struct settings_team *t = &cfg->teams[s->team];
+    return (t->cpus_max <= 0 || u->cpu + tasks * s->vcpus <= t->cpus_max + 1e-6) &&
+           (t->gpus_max <= 0 || u->gpu + tasks * s->gpus <= t->gpus_max + 1e-6);
+}
+
+static int64_t next_attempt(int k) { return states[k].fence * 1048576 + ++states[k].next; }
+
+static void plan_task(struct round *r, struct machine *m, struct job *j, int task, int64_t attempt, struct usage *u) {
+    struct placement_plan p = {m, j, task, attempt};
+    g_array_append_val(r->plans, p);
+    take(m, &j->spec, 1);
+    u[j->spec.team].cpu += j->spec.vcpus;
+    u[j->spec.team].gpu += j->spec.gpus;
+    m->touched = true;
+}
+
+/* A gang: all of it or nothing, in one zone if it asks for that. */
+static bool plan_gang(struct round *r, struct job *j, GPtrArray *mine, const struct placement_rules *rules, struct usage *u) {
+    if (!quota_left(&u[j->spec.team], &j->spec, j->spec.tasks)) return true;
+    for (int z = 0; z < (j->spec.together ? cfg->n_zones : 1); z++) {
+        const char *zone = j->spec.together ? cfg->zones[z] : NULL;
+        guint from = r->plans->len;
+        struct usage before = u[j->spec.team];
+        int64_t attempt = next_attempt(r->share);
+        int t;
+        for (t = 0; t < j->spec.tasks; t++) {
+            struct machine *m = placement_pick(mine, j, zone, rules, r->plans);
+            if (!m) break;
+            plan_task(r, m, j, t, attempt, u);
+        }
+        if (t == j->spec.tasks) return true;
+        for (guint i = from; i < r->plans->len; i++) {
+            struct placement_plan *p = &g_array_index(r->plans, struct placement_plan, i);
+            take(p->m, &j->spec, -1);
+        }
+        g_array_set_size(r->plans, from);
+        u[j->spec.team] = before;
+    }
+    return false;
+}
+
+static void plan_jobs(struct round *r, int k) {
+    GArray *order = rank_jobs(k);
+    GPtrArray *mine = g_ptr_array_new();
+    struct usage u[SETTINGS_TEAMS];
+    memset(u, 0, sizeof u);
+    struct placement_rules rules = {cfg->tuning.reception, cfg->tuning.admission, reception_of(k)};
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->share != k) continue;
+        g_ptr_array_add(mine, m);
+        for (guint b = 0; b < m->bookings->len; b++) {
+            struct booking *x = m->bookings->pdata[b];
+            if (x->job->spec.team < 0) continue;
+            u[x->job->spec.team].cpu += x->job->spec.vcpus;
+            u[x->job->spec.team].gpu += x->job->spec.gpus;
+        }
+    }
+    states[k].fit_nowhere = false;
+    for (guint i = 0; i < order->len; i++) {
+        struct job *j = g_array_index(order, struct ranked, i).j;
+        j->hungry = false;
+        if (r->plans->len >= 40) {
+            r->more = true;
+            continue;
+        }
+        if (base_since(j->retry_at) < 0) continue;
+        if (j->spec.shape == JOB_GROUP) {
+            if (j->bookings->len == 0) {
+                if (j->n_pend < j->spec.tasks && !plan_gang(r, j, mine, &rules, u)) j->hungry = true;
+            } else if (j->bookings->len < (guint)j->spec.tasks) {
+                /* A part of it is gone, or never got booked: the rest makes way for a new attempt. */
+                for (guint b = 0; b < j->bookings->len; b++) {
+                    struct booking *x = j->bookings->pdata[b];
+                    if (!x->stop) {
+                        x->stop = true;
+                        x->grace_s = 0;
+                        x->m->kick = true;
+                    }
+                }
+            }
+        } else {
+            int left = j->spec.tasks - j->n_pend - (int)j->bookings->len, tried = 0;
+            for (guint b = 0; b < j->bookings->len; b++) {
+                struct booking *x = j->bookings->pdata[b];
+                if (jobs_bit(j->pend, x->task)) left++;
+            }
+            for (int n = 0, t = j->cursor; n < j->spec.tasks && left > 0; n++, t++) {
+                t %= j->spec.tasks;
+                if (jobs_bit(j->pend, t) || booked_task(j, t) || planned_task(r->plans, j, t)) continue;
+                if (!quota_left(&u[j->spec.team], &j->spec, 1)) break;
+                struct machine *m = placement_pick(mine, j, NULL, &rules, r->plans);
+                if (!m) {
+                    j->hungry = true;
+                    break;
+                }
+                plan_task(r, m, j, t, next_attempt(k), u);
+                left--;
+                if (++tried >= 40) break;
+            }
+        }
+        if (j->hungry) states[k].fit_nowhere = true;
+    }
+    g_array_free(order, TRUE);
+    g_ptr_array_free(mine, TRUE);
+}
+
+/* Writes one machine's record: released bookings out, planned ones in. */
+static void write_machine(struct round *r, struct machine *m, int64_t fence, int fence_writes) {
+    char key[96];
+    guint adds = 0;
+    for (guint i = 0; i < r->plans->len; i++) adds += g_array_index(r->plans, struct placement_plan, i).m == m;
+    struct store_txn *t = round_txn(r, 1 + fence_writes, (int)adds + 3);
+    cJSON *o = machine_value(m, fence, m->returning || m->want_return), *list = cJSON_AddArrayToObject(o, "b");
+    for (guint i = 0; i < m->bookings->len; i++) {
+        struct booking *b = m->bookings->pdata[i];
+        if (!b->over) cJSON_AddItemToArray(list, booking_value(b->job->spec.uid, b->task, b->attempt));
+    }
+    for (guint i = 0; i < r->plans->len; i++) {
+        struct placement_plan *p = &g_array_index(r->plans, struct placement_plan, i);
+        if (p->m != m) continue;
+        cJSON_AddItemToArray(list, booking_value(p->j->spec.uid, p->task, p->attempt));
+        /* Not if the job was cancelled meanwhile. */
+        snprintf(key, sizeof key, "job/%s", p->j->spec.uid);
+        store_txn_if(t, key, store_stamp(key));
+    }
+    snprintf(key, sizeof key, "machine/%s", m->id);
+    store_txn_if(t, key, store_stamp(key));
+    store_txn_set(t, key, o, 0);
+    if (fence_writes) {
+        store_txn_if(t, "fence", store_stamp("fence"));
+        store_txn_set(t, "fence", cJSON_CreateNumber((double)fence), 0);
+    }
+}
+
+static void add_newcomers(struct round *r, int k) {
+    GHashTableIter it;
+    gpointer v;
+    int n = 0;
+    g_hash_table_iter_init(&it, newcomers);
+    while (g_hash_table_iter_next(&it, NULL, &v) && n++ < 30) {
+        struct newcomer *c = v;
+        if (c->share != k) continue;
+        struct machine m;
+        memset(&m, 0, sizeof m);
+        m.share = k;
+        m.spot = c->spot;
+        m.born = time_of_day();
+        g_strlcpy(m.address, c->address, sizeof m.address);
+        g_strlcpy(m.sku, c->sku, sizeof m.sku);
+        g_strlcpy(m.site, c->site, sizeof m.site);
+        char key[96];
+        snprintf(key, sizeof key, "machine/%s", c->id);
+        struct store_txn *t = round_txn(r, 1, 1);
+        store_txn_if(t, key, 0);
+        store_txn_set(t, key, machine_value(&m, 0, false), 0);
+    }
+}
+
+static void plan_round(struct round *r) {
+    int k = r->share;
+    scratch(k);
+    /* A task's completion is recorded before the booking goes. */
+    GPtrArray *jobs = jobs_active();
+    for (guint i = 0; i < jobs->len && r->txns->len < 6; i++) {
+        struct job *j = jobs->pdata[i];
+        if (jobs_share(j) == k && j->known && jobs_dirty(j)) jobs_adds(j, round_txn(r, 1, 2), cfg->txn_ops);
+    }
+    add_newcomers(r, k);
+    plan_jobs(r, k);
+    bool raised = false;
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->share != k || r->txns->len >= 8) continue;
+        if (m->dead) {
+            char key[96];
+            snprintf(key, sizeof key, "machine/%s", m->id);
+            struct store_txn *t = round_txn(r, 1, 1);
+            store_txn_if(t, key, store_stamp(key));
+            store_txn_remove(t, key);
+            continue;
+        }
+        int64_t fence = m->fence;
+        bool raise = m->need_raise && !raised;
+        if (raise) {
+            fence = membership_fence() + 1;
+            raised = true;
+        }
+        if (m->touched || raise || (m->want_return && !m->returning)) write_machine(r, m, fence, raise ? 1 : 0);
+    }
+}
+
+static void txn_free(gpointer p) {
+    store_txn_free(p);
+    g_free(p);
+}
+
+static void apply_written(const struct store_txn *t, int64_t epoch) {
+    const cJSON *x;
+    cJSON_ArrayForEach(x, t->ops) {
+        const char *set = base_str(x, "set"), *gone_key = base_str(x, "remove");
+        if (set && g_str_has_prefix(set, "machine/")) {
+            struct machine *m = pool_find(set + 8);
+            if (m) m->need_raise = m->need_raise && pool_token(m) <= m->unknown_fence;
+        }
+        if (set) store_apply(set, cJSON_GetObjectItemCaseSensitive(x, "data"), epoch);
+        if (gone_key) store_apply(gone_key, NULL, epoch);
+        if (set && g_str_has_prefix(set, "machine/")) {
+            struct machine *m = pool_find(set + 8);
+            if (m && m->need_raise && pool_token(m) > m->unknown_fence) m->need_raise = false;
+            if (m && m->bookings->len) m->kick = true;
+        }
+    }
+}
+
+/* After an unknown outcome the share's stamp is moved, so that what may still come late fails. */
+static bool barrier(struct http_client *c, int k) {
+    char key[32];
+    struct store_txn t;
+    struct store_answer a;
+    snprintf(key, sizeof key, "share/%d", k);
+    store_refresh(c, key);
+    store_txn_init(&t);
+    store_lock();
+    bool mine = membership_mine(k);
+    const struct share *s = membership_share(k);
+    store_txn_if(&t, key, s->stamp);
+    cJSON *o = cJSON_CreateObject();
+    cJSON_AddStringToObject(o, "owner", s->owner);
+    cJSON_AddStringToObject(o, "inc", s->inc);
+    cJSON_AddNumberToObject(o, "fence", (double)s->fence);
+    store_txn_set(&t, key, o, 0);
+    store_unlock();
+    bool ok = false;
+    if (mine && store_multi(c, STORE_BOOK, &t, &a) == STORE_OK) {
+        store_lock();
+        store_apply(key, cJSON_GetObjectItemCaseSensitive(cJSON_GetArrayItem(t.ops, 0), "data"), a.epoch);
+        store_unlock();
+        store_nudge();
+        ok = true;
+        store_answer_clear(&a);
+    }
+    store_txn_free(&t);
+    return ok;
+}
+
+static bool run_round(struct http_client *c, int k) {
+    struct round r = {k, g_array_new(FALSE, FALSE, sizeof(struct placement_plan)), g_ptr_array_new_with_free_func(txn_free), false};
+    bool again = false;
+    store_lock();
+    bool mine = membership_mine(k);
+    if (mine) {
+        int64_t f = membership_share(k)->fence;
+        if (states[k].fence != f) {
+            states[k].fence = f;
+            states[k].next = 0;
+            states[k].barrier = false;
+            states[k].since = base_now();
+            log_info("share %d: ours under fence %lld", k, (long long)f);
+        }
+    }
+    bool blocked = states[k].barrier;
+    if (mine && !blocked) plan_round(&r);
+    store_unlock();
+    if (mine && blocked) {
+        if (barrier(c, k)) states[k].barrier = false;
+        again = true;
+    }
+    for (guint i = 0; i < r.txns->len; i++) {
+        struct store_txn *t = r.txns->pdata[i];
+        struct store_answer a;
+        if (!t->writes) continue;
+        enum store_result rc = store_multi(c, r.plans->len ? STORE_BOOK : STORE_PROGRESS, t, &a);
+        if (rc == STORE_OK) {
+            store_lock();
+            apply_written(t, a.epoch);
+            store_unlock();
+            again = true;
+        } else if (rc == STORE_CONFLICT) {
+            for (guint f = 0; f < a.failed->len; f++) store_refresh(c, a.failed->pdata[f]);
+            again = true;
+        } else if (rc == STORE_UNKNOWN || rc == STORE_BAD) {
+            states[k].barrier = true;
+        }
+        store_answer_clear(&a);
+        if (rc != STORE_OK) break;
+    }
+    if (r.txns->len) workers_kick();
+    g_array_free(r.plans, TRUE);
+    g_ptr_array_free(r.txns, TRUE);
+    return again || r.more;
+}
+
+/* ---- ledger, silence, notices ---- */
+
+static double boot_limit(const struct machine *m) {
+    const struct flavour_info *f = cloud_flavour(m->sku);
+    return 3.5 * (f && f->startup_s > 0 ? f->startup_s : 60) + 10;
+}
+
+static void watch_machines(int k) {
+    int up = 0, heard = 0;
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->share != k || !pool_mine(m) || !m->up) continue;
+        up++;
+        heard += base_since(m->heard) < 8;
+    }
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->share != k || m->returning || m->want_return || m->dead) continue;
+        /* If most are silent it is more likely us than them. */
+        if (m->up && base_passed(m->heard, cfg->tuning.silent_return) && heard * 2 >= up - 1) {
+            log_info("machine %s: silent for %.0f s, returning it", m->id, base_since(m->heard));
+            m->want_return = true;
+        }
+        if (!m->up && time_of_day() - m->born > boot_limit(m) && base_since(m->mine_since) > 20) {
+            log_info("machine %s: never came up, returning it", m->id);
+            m->want_return = true;
+        }
+        if (m->warning >= 0) {
+            double left = m->warning - base_since(m->warned);
+            for (guint b = 0; b < m->bookings->len; b++) {
+                struct booking *x = m->bookings->pdata[b];
+                if (!x->stop && x->job->spec.checkpoint_s > 0 && left < x->job->spec.flush_s + 6) {
+                    x->stop = true;
+                    x->grace_s = x->job->spec.flush_s + 2;
+                    m->kick = true;
+                }
+            }
+            if (m->bookings->len == 0) m->want_return = true;
+        }
+        if (m->draining && m->bookings->len == 0) {
+            log_info("machine %s: drained, returning it", m->id);
+            m->want_return = true;
+        } else if (m->draining && base_passed(m->drain_since, cfg->tuning.drain_reopen)) {
+            log_info("machine %s: still busy, drain given up", m->id);
+            m->draining = false;
+        }
+    }
+}
+
+static void run_ledger(int k) {
+    struct machine *reception = reception_of(k), *least = NULL;
+    double occupied = 0, least_occ = 0;
+    int n = 0;
+    bool draining = false, rows = true;
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->share != k || !pool_mine(m) || !m->up || m->returning || m->want_return || m->dead) continue;
+        double occ = placement_occupancy(m, (int)cfg->tuning.window);
+        occupied += occ;
+        draining |= m->draining;
+        if (m->draining) continue;
+        n++;
+        if (m->rows < (int)cfg->tuning.window) rows = false;
+        /* One rented for waiting tasks stays until it has had its first. */
+        if (m == reception || m->warning >= 0 || (!m->had_task && time_of_day() - m->born < boot_limit(m))) continue;
+        if (!least || occ < least_occ) {
+            least = m;
+            least_occ = occ;
+        }
+    }
+    double h = placement_headroom(n, occupied, cfg->tuning.reception, cfg->tuning.admission);
+    if (!rows || draining || !least || states[k].fit_nowhere || n < 2 || h <= cfg->tuning.margin * cfg->tuning.admission) return;
+    least->draining = true;
+    least->drain_since = base_now();
+    log_info("machine %s: draining (share %d, N %d, O %.2f, H %.2f)", least->id, k, n, occupied, h);
+}
+
+static void *pool_main(void *arg) {
+    (void)arg;
+    struct http_client *c = http_client_new();
+    struct timespec watched = {0, 0};
+    for (;;) {
+        pthread_mutex_lock(&kick_lock);
+        if (!kicked) base_cond_wait(&kick_cond, &kick_lock, base_span(0.5));
+        kicked = false;
+        pthread_mutex_unlock(&kick_lock);
+        bool again = false;
+        for (int k = 0; k < cfg->size; k++) again |= run_round(c, k);
+        if (base_since(watched) > 0.5) {
+            watched = base_now();
+            store_lock();
+            for (int k = 0; k < cfg->size; k++)
+                if (membership_mine(k) && membership_verified()) {
+                    watch_machines(k);
+                    run_ledger(k);
+                }
+            store_unlock();
+            workers_kick();
+        }
+        base_sleep(base_span(0.03));
+        if (again) pool_kick();
+    }
+    return NULL;
+}
+
+/* ---- renting and returning ---- */
+
+static bool may_use(const struct job_spec *j, const struct flavour_info *f) {
+    return (!j->flavours || g_strv_contains((const char *const *)j->flavours, f->sku)) && j->vcpus <= f->vcpus + 1e-6 &&
+           j->gpus <= f->gpus + 1e-6 && j->memory_gb <= f->memory_gb + 1e-6;
+}
+
+/* The cheapest type that fits, its kind, and a zone that has not just refused. */
+static bool choose(const struct job *j, const char *site, struct rent_order *o) {
+    for (int spot = j->spec.reclaimable ? 1 : 0; spot >= 0; spot--) {
+        double best = 0;
+        bool found = false;
+        for (int i = 0; i < cloud_flavours_count(); i++) {
+            const struct flavour_info *f = &cloud_flavours()[i];
+            if (!may_use(&j->spec, f)) continue;
+            double price = spot ? f->market : f->hourly;
+            for (int z = 0; z < f->n_sites; z++) {
+                const char *s = f->sites[z];
+                if ((site && strcmp(site, s) != 0) || (j->spec.site && strcmp(j->spec.site, s) != 0)) continue;
+                if (!cloud_open(f->sku, s, spot == 1)) continue;
+                /* Among equal prices, the zone where this share has least. */
+                int here = 0;
+                for (guint m = 0; m < machines->len; m++) {
+                    struct machine *x = machines->pdata[m];
+                    here += x->share == jobs_share(j) && strcmp(x->site, s) == 0;
+                }
+                double cost = price * (1 + 0.001 * here);
+                if (found && cost >= best) continue;
+                found = true;
+                best = cost;
+                g_strlcpy(o->sku, f->sku, sizeof o->sku);
+                g_strlcpy(o->site, s, sizeof o->site);
+                o->spot = spot == 1;
+            }
+        }
+        if (found) return true;
+    }
+    return false;
+}
+
+struct virtual_machine {
+    struct rent_order o;
+    double cpu, gpu, mem; /* left */
+};
+
+static bool vm_takes(struct virtual_machine *v, const struct job *j, const char *site) {
+    const struct job_spec *s = &j->spec;
+    if (v->o.spot && !s->reclaimable) return false;
+    if ((site && strcmp(site, v->o.site) != 0) || (s->site && strcmp(s->site, v->o.site) != 0)) return false;
+    if (s->flavours && !g_strv_contains((const char *const *)s->flavours, v->o.sku)) return false;
+    if (s->vcpus > v->cpu + 1e-6 || s->gpus > v->gpu + 1e-6 || s->memory_gb > v->mem + 1e-6) return false;
+    v->cpu -= s->vcpus;
+    v->gpu -= s->gpus;
+    v->mem -= s->memory_gb;
+    return true;
+}
+
+static void vm_add(GArray *vms, const char *sku, const char *site, bool spot) {
+    const struct flavour_info *f = cloud_flavour(sku);
+    if (!f) return;
+    struct virtual_machine v = {{"", "", spot, 0, 0}, f->vcpus, f->gpus, f->memory_gb};
+    g_strlcpy(v.o.sku, sku, sizeof v.o.sku);
+    g_strlcpy(v.o.site, site, sizeof v.o.site);
+    g_array_append_val(vms, v);
+}
+
+static void rent_for_share(int k, struct rent_order *out, int most, int *n) {
+    GArray *vms = g_array_new(FALSE, FALSE, sizeof(struct virtual_machine));
+    int have = 0, fresh = 0, steady = 0;
+    bool roomy = false, booting = false;
+    struct machine *reception = reception_of(k);
+    for (guint i = 0; i < machines->len; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->share != k || m->returning || m->want_return || m->dead) continue;
+        have++;
+        if (!m->up) {
+            vm_add(vms, m->sku, m->site, m->spot);
+            booting = true;
+        } else if (!m->spot && !m->draining && m->warning < 0) {
+            steady++;
+            if (m != reception && placement_occupancy(m, (int)cfg->tuning.window) < cfg->tuning.admission) roomy = true;
+        }
+    }
+    GHashTableIter it;
+    gpointer v;
+    g_hash_table_iter_init(&it, newcomers);
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct newcomer *c = v;
+        if (c->share != k) continue;
+        vm_add(vms, c->sku, c->site, c->spot);
+        have++;
+        booting = true;
+    }
+    guint first_new = vms->len;
+    GArray *order = rank_jobs(k);
+    int cap = (int)cfg->tuning.machines_per_share;
+    for (guint i = 0; i < order->len; i++) {
+        struct job *j = g_array_index(order, struct ranked, i).j;
+        if (!j->hungry) continue;
+        int left = j->spec.shape == JOB_GROUP ? j->spec.tasks : j->spec.tasks - j->n_pend - (int)j->bookings->len;
+        double used = 0;
+        char site[64] = "";
+        if (j->spec.together && j->bookings->len)
+            g_strlcpy(site, ((struct booking *)j->bookings->pdata[0])->m->site, sizeof site);
+        const struct settings_team *t = &cfg->teams[j->spec.team];
+        for (int x = 0; x < left && x < 64; x++) {
+            used += j->spec.gpus;
+            if (t->gpus_max > 0 && used > t->gpus_max) break;
+            /* Spread jobs ask for a zone that has none of them yet. */
+            const char *want = site[0] ? site : NULL;
+            if (j->spec.spread && !want)
+                for (int z = 0; z < cfg->n_zones && !want; z++) {
+                    int here = 0;
+                    for (guint b = 0; b < j->bookings->len; b++)
+                        here += strcmp(((struct booking *)j->bookings->pdata[b])->m->site, cfg->zones[z]) == 0;
+                    if (here < (j->spec.tasks + 1) / 2 && j->bookings->len && here == 0) want = cfg->zones[z];
+                }
+            bool taken = false;
+            for (guint y = 0; y < vms->len && !taken; y++) {
+                struct virtual_machine *vm = &g_array_index(vms, struct virtual_machine, y);
+                taken = vm_takes(vm, j, want);
+                if (taken && j->spec.together && !site[0]) g_strlcpy(site, vm->o.site, sizeof site);
+            }
+            struct rent_order o;
+            memset(&o, 0, sizeof o);
+            if (!taken && have + fresh < cap && choose(j, want, &o)) {
+                vm_add(vms, o.sku, o.site, o.spot);
+                fresh++;
+                vm_takes(&g_array_index(vms, struct virtual_machine, vms->len - 1), j, want);
+                if (j->spec.together && !site[0]) g_strlcpy(site, o.site, sizeof site);
+            }
+        }
+    }
+    /* Pressure: no other machine under the admission threshold, or a lone reception past its own. */
+    if (fresh == 0 && !booting && reception && !roomy && have < cap) {
+        bool lone = steady == 1;
+        double occ = placement_occupancy(reception, (int)cfg->tuning.window);
+        struct job *like = NULL;
+        for (guint b = 0; b < reception->bookings->len; b++) {
+            struct booking *x = reception->bookings->pdata[b];
+            if (!x->job->spec.reclaimable) like = x->job;
+        }
+        struct rent_order o;
+        memset(&o, 0, sizeof o);
+        if (like && (!lone || occ > cfg->tuning.reception) && choose(like, NULL, &o)) vm_add(vms, o.sku, o.site, o.spot);
+    }
+    for (guint y = first_new; y < vms->len; y++) {
+        struct rent_order *o = &g_array_index(vms, struct virtual_machine, y).o;
+        int i;
+        for (i = 0; i < *n; i++)
+            if (out[i].share == k && out[i].spot == o->spot && !strcmp(out[i].sku, o->sku) && !strcmp(out[i].site, o->site)) break;
+        if (i == *n && *n < most) {
+            out[i] = *o;
+            out[i].share = k;
+            out[i].count = 0;
+            (*n)++;
+        }
+        if (i < *n && out[i].count < 50) out[i].count++;
+    }
+    g_array_free(order, TRUE);
+    g_array_free(vms, TRUE);
+}
+
+int pool_rent_plan(struct rent_order *out, int most) {
+    int n = 0;
+    for (int k = 0; k < cfg->size; k++)
+        if (membership_mine(k) && membership_verified() && base_since(states[k].since) > 4) rent_for_share(k, out, most, &n);
+    return n;
+}
+
+int pool_return_plan(char ids[][64], int most) {
+    int n = 0;
+    for (guint i = 0; i < machines->len && n < most; i++) {
+        struct machine *m = machines->pdata[i];
+        if (m->returning && !m->dead && pool_mine(m)) g_strlcpy(ids[n++], m->id, 64);
+    }
+    return n;
+}
+
+void pool_returned(const char *id) {
+    struct machine *m = pool_find(id);
+    if (!m) return;
+    m->dead = true;
+    /* The answer proves that all that was on it is gone; its record goes with its bookings. */
+    pool_kick();
+}
+
+void pool_init(const struct settings *s) {
+    cfg = s;
+    by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    newcomers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    machines = g_ptr_array_new();
+    base_cond_init(&kick_cond);
+    store_observe("machine/", apply_machine);
+}
+
+void pool_start(void) { base_thread(pool_main, NULL); }
--- /dev/null
+++ b/src/settings/settings.c
@@ -0,0 +1,213 @@
+#include "settings.h"
+
+#include <glib.h>
+#include <libconfig.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "../base/base.h"
+
+static const struct settings_tuning tuning_defaults = {
+    .reception = 0.5,
+    .admission = 0.8,
+    .margin = 1.5,
+    .window = 6,
+    .drain_reopen = {60, 0},
+    .silent_return = {14, 0},
+    .node_lease = {4, 0},
+    .watch_gap = {0, 80000000},
+    .machines_per_share = 24,
+};
+
+struct reader {
+    const char *file;
+    char *err;
+    size_t errlen;
+    bool ok;
+};
+
+static void fail(struct reader *r, const char *field, const char *what) {
+    if (r->ok) snprintf(r->err, r->errlen, "%s: %s: %s", r->file, field, what);
+    r->ok = false;
+}
+
+static char *need_str(struct reader *r, const cJSON *o, const char *at, const char *name) {
+    const char *v = base_str(o, name);
+    char field[128];
+    snprintf(field, sizeof field, "%s%s", at, name);
+    if (!v || !*v) fail(r, field, "a non-empty string is needed");
+    return g_strdup(v ? v : "");
+}
+
+static double need_num(struct reader *r, const cJSON *o, const char *at, const char *name, double least, double most) {
+    double v = base_num(o, name, -1);
+    char field[128];
+    snprintf(field, sizeof field, "%s%s", at, name);
+    if (!(v >= least && v <= most)) fail(r, field, "missing or out of range");
+    return v;
+}
+
+static void check_address(struct reader *r, const char *field, const char *v) {
+    const char *colon = strrchr(v, ':');
+    if (!colon || colon == v || g_ascii_strtoll(colon + 1, NULL, 10) < 1 || g_ascii_strtoll(colon + 1, NULL, 10) > 65535)
+        fail(r, field, "not of the form address:port");
+}
+
+static void read_teams(struct reader *r, const cJSON *list, struct settings *s) {
+    const cJSON *t;
+    if (!cJSON_IsArray(list) || cJSON_GetArraySize(list) < 1 || cJSON_GetArraySize(list) > SETTINGS_TEAMS) {
+        fail(r, "settings.teams", "a list of 1 to 256 teams is needed");
+        return;
+    }
+    cJSON_ArrayForEach(t, list) {
+        struct settings_team *x = &s->teams[s->n_teams++];
+        x->name = need_str(r, t, "settings.teams.", "name");
+        x->cpus = need_num(r, t, "settings.teams.", "cpus", 0, 1e9);
+        x->cpus_max = need_num(r, t, "settings.teams.", "cpus_max", 0, 1e9);
+        x->gpus = need_num(r, t, "settings.teams.", "gpus", 0, 1e9);
+        x->gpus_max = need_num(r, t, "settings.teams.", "gpus_max", 0, 1e9);
+        if (x->gpus_max > 0 && x->gpus > x->gpus_max) fail(r, "settings.teams.gpus", "above gpus_max");
+        if (x->cpus_max > 0 && x->cpus > x->cpus_max) fail(r, "settings.teams.cpus", "above cpus_max");
+        for (int i = 0; i + 1 < s->n_teams; i++)
+            if (strcmp(s->teams[i].name, x->name) == 0) fail(r, "settings.teams.name", "a team is named twice");
+    }
+}
+
+bool settings_parse(const char *json, const char *name, struct settings *s, char *err, size_t errlen) {
+    struct reader r = {name, err, errlen, true};
+    memset(s, 0, sizeof *s);
+    s->tuning = tuning_defaults;
+    cJSON *root = cJSON_Parse(json);
+    if (!cJSON_IsObject(root)) {
+        fail(&r, "(whole file)", "not a JSON object");
+        cJSON_Delete(root);
+        return false;
+    }
+    s->node = need_str(&r, root, "", "node");
+    s->area = need_str(&r, root, "", "area");
+    s->bind = need_str(&r, root, "", "bind");
+    s->cluster_listen = need_str(&r, root, "", "cluster_listen");
+    check_address(&r, "bind", s->bind);
+    check_address(&r, "cluster_listen", s->cluster_listen);
+    const cJSON *services = cJSON_GetObjectItemCaseSensitive(root, "services");
+    s->cloud = need_str(&r, services, "services.", "cloud");
+    s->state = need_str(&r, services, "services.", "state");
+    check_address(&r, "services.cloud", s->cloud);
+    check_address(&r, "services.state", s->state);
+    const cJSON *seeds = cJSON_GetObjectItemCaseSensitive(root, "seeds"), *x;
+    if (seeds && (!cJSON_IsArray(seeds) || cJSON_GetArraySize(seeds) > SETTINGS_SEEDS)) fail(&r, "seeds", "not a list of at most 16");
+    if (r.ok) cJSON_ArrayForEach(x, seeds) {
+            struct settings_seed *d = &s->seeds[s->n_seeds++];
+            d->node = need_str(&r, x, "seeds.", "node");
+            d->area = need_str(&r, x, "seeds.", "area");
+            d->address = need_str(&r, x, "seeds.", "address");
+            check_address(&r, "seeds.address", d->address);
+            if (strcmp(d->node, s->node) == 0) fail(&r, "seeds.node", "names this node itself");
+        }
+    const cJSON *p = cJSON_GetObjectItemCaseSensitive(root, "settings");
+    if (!cJSON_IsObject(p)) fail(&r, "settings", "an object is needed");
+    s->size = (int)need_num(&r, p, "settings.", "size", 1, 64);
+    const cJSON *zones = cJSON_GetObjectItemCaseSensitive(p, "zones");
+    if (!cJSON_IsArray(zones) || cJSON_GetArraySize(zones) > SETTINGS_ZONES) fail(&r, "settings.zones", "a list of at most 32 is needed");
+    if (r.ok) cJSON_ArrayForEach(x, zones) {
+            if (!cJSON_IsString(x))
+                fail(&r, "settings.zones", "not a list of names");
+            else
+                s->zones[s->n_zones++] = g_strdup(x->valuestring);
+        }
+    read_teams(&r, cJSON_GetObjectItemCaseSensitive(p, "teams"), s);
+    const cJSON *w = cJSON_GetObjectItemCaseSensitive(p, "workers");
+    s->report = base_span(need_num(&r, w, "settings.workers.", "report_s", 0.01, 3600));
+    s->lease = base_span(need_num(&r, w, "settings.workers.", "lease_s", 0.1, 86400));
+    s->gang_wait = base_span(need_num(&r, w, "settings.workers.", "gang_wait_s", 0, 86400));
+    s->gang_peer = base_span(need_num(&r, w, "settings.workers.", "gang_peer_s", 0, 86400));
+    s->cancel = base_span(need_num(&r, w, "settings.workers.", "cancel_s", 0.1, 86400));
+    if (r.ok && base_secs(s->cancel) <= base_secs(s->lease)) fail(&r, "settings.workers.cancel_s", "must be above lease_s");
+    const cJSON *st = cJSON_GetObjectItemCaseSensitive(p, "state");
+    s->state_rps = need_num(&r, st, "settings.state.", "rps", 1, 1e6);
+    s->state_write_rps = need_num(&r, st, "settings.state.", "write_rps", 1, 1e6);
+    s->value_kb = need_num(&r, st, "settings.state.", "value_kb", 1, 1e6);
+    s->txn_ops = (int)need_num(&r, st, "settings.state.", "txn_ops", 2, 10000);
+    const cJSON *c = cJSON_GetObjectItemCaseSensitive(p, "cloud");
+    s->cloud_rps = need_num(&r, c, "settings.cloud.", "rps", 0.01, 1e6);
+    s->list_lag = base_span(need_num(&r, c, "settings.cloud.", "list_lag_s", 0, 3600));
+    const cJSON *l = cJSON_GetObjectItemCaseSensitive(p, "machine_limits");
+    s->sockets = (int)base_num(l, "sockets", 1000);
+    if (s->sockets < 64) fail(&r, "settings.machine_limits.sockets", "below 64");
+    cJSON_Delete(root);
+    return r.ok;
+}
+
+/* One row a setting: its name, bounds, and where it goes. */
+struct knob {
+    const char *name;
+    double least, most;
+    size_t offset;
+    bool span;
+};
+#define KNOB(f, lo, hi, sp) {#f, lo, hi, offsetof(struct settings_tuning, f), sp}
+static const struct knob knobs[] = {
+    KNOB(reception, 0, 1, false),       KNOB(admission, 0.05, 1.01, false), KNOB(margin, 0.5, 20, false),
+    KNOB(window, 1, 60, false),         KNOB(drain_reopen, 5, 3600, true),  KNOB(silent_return, 2, 3600, true),
+    KNOB(node_lease, 1, 60, true),      KNOB(watch_gap, 0, 5, true),        KNOB(machines_per_share, 1, 10000, false),
+};
+
+/* HCL's `name = value` lines, read by libconfig: no HCL reader is packaged for C, and this is its nearest kin. */
+bool settings_parse_tuning(const char *hcl, const char *name, struct settings_tuning *out, char *err, size_t errlen) {
+    struct reader r = {name, err, errlen, true};
+    config_t c;
+    *out = tuning_defaults;
+    config_init(&c);
+    config_set_options(&c, CONFIG_OPTION_AUTOCONVERT);
+    if (!config_read_string(&c, hcl)) {
+        char at[32];
+        snprintf(at, sizeof at, "line %d", config_error_line(&c));
+        fail(&r, at, config_error_text(&c));
+        config_destroy(&c);
+        return false;
+    }
+    config_setting_t *top = config_root_setting(&c);
+    for (int n = 0; n < config_setting_length(top) && r.ok; n++) {
+        config_setting_t *o = config_setting_get_elem(top, (unsigned)n);
+        const struct knob *k = NULL;
+        for (size_t i = 0; i < G_N_ELEMENTS(knobs); i++)
+            if (strcmp(knobs[i].name, config_setting_name(o)) == 0) k = &knobs[i];
+        bool number = config_setting_is_number(o);
+        double v = number ? config_setting_get_float(o) : 0;
+        if (!k)
+            fail(&r, config_setting_name(o), "no such setting");
+        else if (!number || !(v >= k->least && v <= k->most))
+            fail(&r, k->name, "not a number within its bounds");
+        else if (k->span)
+            *(struct timespec *)(void *)((char *)out + k->offset) = base_span(v);
+        else
+            *(double *)(void *)((char *)out + k->offset) = v;
+    }
+    config_destroy(&c);
+    return r.ok;
+}
+
+bool settings_load(const char *path, struct settings *s, char *err, size_t errlen) {
+    char *text = NULL;
+    if (!g_file_get_contents(path, &text, NULL, NULL)) {
+        snprintf(err, errlen, "%s: cannot be read", path);
+        return false;
+    }
+    bool ok = settings_parse(text, path, s, err, errlen);
+    g_free(text);
+    const char *own = g_getenv("FIELDFIELD_TUNING");
+    if (!ok || !own) return ok;
+    if (!g_file_get_contents(own, &text, NULL, NULL)) {
+        snprintf(err, errlen, "%s: cannot be read", own);
+        return false;
+    }
+    ok = settings_parse_tuning(text, own, &s->tuning, err, errlen);
+    g_free(text);
+    return ok;
+}
+
+int settings_team(const struct settings *s, const char *name) {
+    for (int i = 0; i < s->n_teams; i++)
+        if (strcmp(s->teams[i].name, name) == 0) return i;
+    return -1;
+}
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,50 @@
+/* The platform's JSON file and the operators' own HCL file. */
+#ifndef FF_SETTINGS_H
+#define FF_SETTINGS_H
+#include <stdbool.h>
+#include <time.h>
+
+#define SETTINGS_TEAMS 256
+#define SETTINGS_SEEDS 16
+#define SETTINGS_ZONES 32
+
+struct settings_team {
+    char *name;
+    double cpus, cpus_max, gpus, gpus_max; /* a maximum of 0: none */
+};
+struct settings_seed {
+    char *node, *area, *address;
+};
+
+/* Operators' settings; the design's values are the defaults. */
+struct settings_tuning {
+    double reception, admission, margin;
+    double window;
+    struct timespec drain_reopen, silent_return, node_lease, watch_gap;
+    double machines_per_share;
+};
+
+struct settings {
+    char *node, *area, *bind, *cluster_listen, *cloud, *state;
+    struct settings_seed seeds[SETTINGS_SEEDS];
+    int n_seeds;
+    int size;
+    char *zones[SETTINGS_ZONES];
+    int n_zones;
+    struct settings_team teams[SETTINGS_TEAMS];
+    int n_teams;
+    struct timespec report, lease, gang_wait, gang_peer, cancel;
+    double state_rps, state_write_rps, value_kb;
+    int txn_ops;
+    double cloud_rps;
+    struct timespec list_lag;
+    int sockets;
+    struct settings_tuning tuning;
+};
+
+/* On failure err says file and field. */
+bool settings_load(const char *path, struct settings *out, char *err, size_t errlen);
+bool settings_parse(const char *json, const char *name, struct settings *out, char *err, size_t errlen);
+bool settings_parse_tuning(const char *hcl, const char *name, struct settings_tuning *out, char *err, size_t errlen);
+int settings_team(const struct settings *s, const char *name);
+#endif
--- /dev/null
+++ b/src/store/store.c
@@ -0,0 +1,379 @@
+#include "store.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+static const struct settings *cfg;
+
+/* ---- budget ---- */
+
+/* The service counts for all controllers together; each keeps to its part and leaves a reserve for the more
+ * pressing classes. */
+static pthread_mutex_t budget_lock = PTHREAD_MUTEX_INITIALIZER;
+static double budget_calls, budget_writes;
+static struct timespec budget_at, budget_block;
+static unsigned budget_used;
+static const double budget_reserve[] = {-1e9, 0, 0.08, 0.2, 0.3};
+
+static bool budget_take(enum store_class cls, int writes) {
+    double rate_c = cfg->state_rps * 0.6, rate_w = cfg->state_write_rps * 0.6;
+    pthread_mutex_lock(&budget_lock);
+    struct timespec now = base_now();
+    double dt = base_secs(now) - base_secs(budget_at);
+    budget_at = now;
+    budget_calls = MIN(budget_calls + dt * rate_c, rate_c);
+    budget_writes = MIN(budget_writes + dt * rate_w, rate_w);
+    double keep = budget_reserve[cls];
+    bool ok = budget_calls - 1 >= keep * rate_c && (writes == 0 || budget_writes >= keep * rate_w + MIN(writes, rate_w * 0.5));
+    if (cls != STORE_RENEW && base_secs(now) < base_secs(budget_block)) ok = false;
+    if (ok) {
+        budget_calls -= 1;
+        budget_writes -= writes;
+        budget_used++;
+    }
+    pthread_mutex_unlock(&budget_lock);
+    return ok;
+}
+
+static void budget_pause(void) {
+    pthread_mutex_lock(&budget_lock);
+    budget_block = base_wall_in(base_span(0.12));
+    pthread_mutex_unlock(&budget_lock);
+}
+
+unsigned store_budget_used(void) {
+    pthread_mutex_lock(&budget_lock);
+    unsigned n = budget_used;
+    pthread_mutex_unlock(&budget_lock);
+    return n;
+}
+
+void store_init(const struct settings *s) {
+    cfg = s;
+    budget_at = base_now();
+    budget_calls = s->state_rps * 0.3;
+    budget_writes = s->state_write_rps * 0.3;
+}
+
+/* ---- transactions ---- */
+
+void store_txn_init(struct store_txn *t) {
+    t->conds = cJSON_CreateArray();
+    t->ops = cJSON_CreateArray();
+    t->writes = 0;
+}
+
+void store_txn_if(struct store_txn *t, const char *key, int64_t stamp) {
+    const cJSON *x;
+    cJSON_ArrayForEach(x, t->conds) if (strcmp(base_str(x, "path"), key) == 0) return;
+    cJSON *o = cJSON_CreateObject();
+    cJSON_AddStringToObject(o, "path", key);
+    cJSON_AddNumberToObject(o, "stamp", (double)stamp);
+    cJSON_AddItemToArray(t->conds, o);
+}
+
+void store_txn_set(struct store_txn *t, const char *key, cJSON *data, int64_t lease) {
+    cJSON *o = cJSON_CreateObject();
+    cJSON_AddStringToObject(o, "set", key);
+    cJSON_AddItemToObject(o, "data", data);
+    if (lease) cJSON_AddNumberToObject(o, "lease", (double)lease);
+    cJSON_AddItemToArray(t->ops, o);
+    t->writes++;
+}
+
+void store_txn_remove(struct store_txn *t, const char *key) {
+    cJSON *o = cJSON_CreateObject();
+    cJSON_AddStringToObject(o, "remove", key);
+    cJSON_AddItemToArray(t->ops, o);
+    t->writes++;
+}
+
+void store_txn_free(struct store_txn *t) {
+    cJSON_Delete(t->conds);
+    cJSON_Delete(t->ops);
+    t->conds = t->ops = NULL;
+}
+
+void store_answer_clear(struct store_answer *a) {
+    if (a->failed) g_ptr_array_free(a->failed, TRUE);
+    a->failed = NULL;
+}
+
+static enum store_result call(struct http_client *c, const char *method, const char *path, const char *body,
+                              long timeout_ms, cJSON **answer, long *status) {
+    char url[512];
+    snprintf(url, sizeof url, "http://%s%s", cfg->state, path);
+    enum http_outcome o = http_call(c, method, url, body, timeout_ms, status, answer);
+    if (o == HTTP_NOT_SENT) return STORE_REFUSED;
+    if (o == HTTP_UNKNOWN) return STORE_UNKNOWN;
+    if (*status == 429) budget_pause();
+    if (*status == 429 || *status == 503) return STORE_REFUSED;
+    if (*status == 400) return STORE_BAD;
+    return STORE_OK;
+}
+
+enum store_result store_multi(struct http_client *c, enum store_class cls, struct store_txn *t, struct store_answer *a) {
+    a->epoch = 0;
+    a->failed = NULL;
+    if (!budget_take(cls, t->writes)) return STORE_REFUSED;
+    cJSON *o = cJSON_CreateObject(), *ans = NULL;
+    cJSON_AddItemReferenceToObject(o, "if", t->conds);
+    if (t->writes) cJSON_AddItemReferenceToObject(o, "then", t->ops);
+    char *body = cJSON_PrintUnformatted(o);
+    cJSON_Delete(o);
+    long status;
+    enum store_result r = call(c, "POST", "/multi", body, 2000, &ans, &status);
+    if (r == STORE_OK) {
+        if (status == 200 && base_int(ans, "epoch", &a->epoch)) {
+        } else if (status == 409) {
+            r = STORE_CONFLICT;
+            a->failed = g_ptr_array_new_with_free_func(g_free);
+            const cJSON *x;
+            cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(ans, "failed"))
+                if (cJSON_IsString(x)) g_ptr_array_add(a->failed, g_strdup(x->valuestring));
+        } else {
+            r = STORE_UNKNOWN;
+        }
+    }
+    if (r == STORE_BAD) log_error("state service calls a transaction malformed: %.300s", body);
+    free(body);
+    cJSON_Delete(ans);
+    return r;
+}
+
+enum store_result store_get(struct http_client *c, const char *key, cJSON **data, int64_t *stamp, int64_t *epoch) {
+    char path[300];
+    cJSON *ans = NULL;
+    long status;
+    *data = NULL;
+    *stamp = 0;
+    *epoch = 0;
+    if (!budget_take(STORE_CANCEL, 0)) return STORE_REFUSED;
+    snprintf(path, sizeof path, "/kv/%s", key);
+    enum store_result r = call(c, "GET", path, NULL, 1500, &ans, &status);
+    if (r == STORE_OK && status == 200 && base_int(ans, "stamp", stamp))
+        *data = cJSON_DetachItemFromObjectCaseSensitive(ans, "data");
+    else if (r == STORE_OK && status == 404 && base_int(ans, "epoch", epoch))
+        r = STORE_OK;
+    else
+        r = STORE_REFUSED; /* a read that brought nothing changed nothing */
+    cJSON_Delete(ans);
+    return r;
+}
+
+enum store_result store_grant(struct http_client *c, struct timespec ttl, int64_t *lease) {
+    char body[64];
+    cJSON *ans = NULL;
+    long status;
+    snprintf(body, sizeof body, "{\"ttl_ms\":%lld}", (long long)(base_secs(ttl) * 1000));
+    budget_take(STORE_RENEW, 0);
+    enum store_result r = call(c, "POST", "/grants", body, 1500, &ans, &status);
+    if (r == STORE_OK && !(status == 200 && base_int(ans, "lease", lease))) r = STORE_UNKNOWN;
+    cJSON_Delete(ans);
+    return r;
+}
+
+static enum store_result lease_call(struct http_client *c, const char *method, const char *fmt, int64_t lease) {
+    char path[64];
+    cJSON *ans = NULL;
+    long status;
+    snprintf(path, sizeof path, fmt, (long long)lease);
+    budget_take(STORE_RENEW, 0);
+    enum store_result r = call(c, method, path, strcmp(method, "POST") == 0 ? "{}" : NULL, 1200, &ans, &status);
+    cJSON_Delete(ans);
+    if (r == STORE_OK && status == 404) return STORE_CONFLICT;
+    if (r == STORE_OK && status != 200) return STORE_UNKNOWN;
+    return r;
+}
+
+enum store_result store_renew(struct http_client *c, int64_t lease) { return lease_call(c, "POST", "/grants/%lld/renew", lease); }
+enum store_result store_drop(struct http_client *c, int64_t lease) { return lease_call(c, "DELETE", "/grants/%lld", lease); }
+
+/* ---- mirror ---- */
+
+struct observer {
+    char *prefix;
+    store_applier fn;
+};
+struct stamp_row {
+    int64_t stamp;
+    bool gone;
+};
+static pthread_mutex_t mirror_lock = PTHREAD_MUTEX_INITIALIZER;
+static GArray *observers;
+static GHashTable *stamps; /* key -> stamp_row; a removed key stays until the watch has passed its removal */
+static int64_t mirror_epoch;
+static bool mirror_ready;
+static struct timespec mirror_verified;
+static pthread_mutex_t nudge_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t nudge_cond;
+static bool nudged;
+
+void store_lock(void) { pthread_mutex_lock(&mirror_lock); }
+void store_unlock(void) { pthread_mutex_unlock(&mirror_lock); }
+int64_t store_epoch(void) { return mirror_epoch; }
+bool store_ready(void) { return mirror_ready; }
+struct timespec store_verified(void) { return mirror_verified; }
+
+void store_observe(const char *prefix, store_applier fn) {
+    if (!observers) observers = g_array_new(FALSE, FALSE, sizeof(struct observer));
+    if (!stamps) stamps = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    struct observer o = {g_strdup(prefix), fn};
+    g_array_append_val(observers, o);
+}
+
+void store_apply(const char *key, const cJSON *data, int64_t stamp) {
+    struct stamp_row *row = g_hash_table_lookup(stamps, key);
+    /* What a late watch or read brings must not undo what a newer one, or our own write, has shown. */
+    if (row && row->stamp >= stamp) return;
+    if (!row) {
+        row = g_new0(struct stamp_row, 1);
+        g_hash_table_insert(stamps, g_strdup(key), row);
+    }
+    row->stamp = stamp;
+    row->gone = data == NULL;
+    for (guint i = 0; i < observers->len; i++) {
+        struct observer *o = &g_array_index(observers, struct observer, i);
+        if (g_str_has_prefix(key, o->prefix)) o->fn(key + strlen(o->prefix), data, stamp);
+    }
+}
+
+int64_t store_stamp(const char *key) {
+    struct stamp_row *row = g_hash_table_lookup(stamps, key);
+    return row && !row->gone ? row->stamp : 0;
+}
+
+void store_refresh(struct http_client *c, const char *key) {
+    cJSON *data;
+    int64_t stamp, epoch;
+    if (store_get(c, key, &data, &stamp, &epoch) != STORE_OK) return;
+    store_lock();
+    if (data)
+        store_apply(key, data, stamp);
+    else if (store_stamp(key) && store_stamp(key) <= epoch)
+        store_apply(key, NULL, epoch);
+    store_unlock();
+    cJSON_Delete(data);
+}
+
+static gboolean sweep_gone(gpointer key, gpointer value, gpointer data) {
+    (void)key;
+    (void)data;
+    struct stamp_row *row = value;
+    return row->gone && row->stamp <= mirror_epoch;
+}
+
+static bool read_all(struct http_client *c) {
+    GHashTable *seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    GString *since = g_string_new("");
+    int64_t first = -1;
+    bool more = true, ok = true;
+    struct timespec sent = base_now();
+    while (more && ok) {
+        char path[400];
+        cJSON *ans = NULL, *x;
+        long status;
+        char *esc = g_uri_escape_string(since->str, "/", FALSE);
+        snprintf(path, sizeof path, "/kv?prefix=&since=%s&most=500", esc);
+        g_free(esc);
+        budget_take(STORE_RENEW, 0);
+        int64_t epoch = 0;
+        ok = call(c, "GET", path, NULL, 3000, &ans, &status) == STORE_OK && status == 200 && base_int(ans, "epoch", &epoch);
+        if (ok) {
+            if (first < 0) first = epoch;
+            store_lock();
+            cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(ans, "rows")) {
+                int64_t stamp;
+                const char *key = base_str(x, "path");
+                if (!key || !base_int(x, "stamp", &stamp)) continue;
+                store_apply(key, cJSON_GetObjectItemCaseSensitive(x, "data"), stamp);
+                g_hash_table_add(seen, g_strdup(key));
+                g_string_assign(since, key);
+            }
+            store_unlock();
+            more = base_flag(ans, "has_next");
+        }
+        cJSON_Delete(ans);
+    }
+    if (ok) {
+        /* After a gap in the watch, keys that went meanwhile are those not listed any more. */
+        GPtrArray *lost = g_ptr_array_new_with_free_func(g_free);
+        GHashTableIter it;
+        gpointer k, v;
+        store_lock();
+        g_hash_table_iter_init(&it, stamps);
+        while (g_hash_table_iter_next(&it, &k, &v)) {
+            struct stamp_row *row = v;
+            if (!row->gone && row->stamp <= first && !g_hash_table_contains(seen, k)) g_ptr_array_add(lost, g_strdup(k));
+        }
+        for (guint i = 0; i < lost->len; i++) store_apply(lost->pdata[i], NULL, first);
+        mirror_epoch = first;
+        mirror_verified = sent;
+        mirror_ready = true;
+        store_unlock();
+        g_ptr_array_free(lost, TRUE);
+    }
+    g_hash_table_destroy(seen);
+    g_string_free(since, TRUE);
+    return ok;
+}
+
+void store_nudge(void) {
+    pthread_mutex_lock(&nudge_lock);
+    nudged = true;
+    pthread_cond_signal(&nudge_cond);
+    pthread_mutex_unlock(&nudge_lock);
+}
+
+static void *mirror_main(void *arg) {
+    (void)arg;
+    struct http_client *c = http_client_new();
+    bool full = true;
+    for (;;) {
+        if (full) {
+            full = !read_all(c);
+            if (full) base_sleep(base_span(0.3));
+            continue;
+        }
+        char path[160];
+        cJSON *ans = NULL, *x;
+        long status;
+        struct timespec sent = base_now();
+        snprintf(path, sizeof path, "/changes?prefix=&since=%lld&hold_ms=1500", (long long)mirror_epoch);
+        budget_take(STORE_RENEW, 0);
+        enum store_result r = call(c, "GET", path, NULL, 4000, &ans, &status);
+        int64_t epoch;
+        if (r == STORE_OK && status == 200 && base_int(ans, "epoch", &epoch)) {
+            store_lock();
+            cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(ans, "events")) {
+                int64_t stamp;
+                if (!base_int(x, "stamp", &stamp)) continue;
+                const char *set = base_str(x, "set"), *gone = base_str(x, "remove");
+                if (set) store_apply(set, cJSON_GetObjectItemCaseSensitive(x, "data"), stamp);
+                if (gone) store_apply(gone, NULL, stamp);
+            }
+            if (epoch > mirror_epoch) mirror_epoch = epoch;
+            g_hash_table_foreach_remove(stamps, sweep_gone, NULL);
+            mirror_verified = sent;
+            store_unlock();
+        } else if (r == STORE_OK && status == 410) {
+            full = true;
+        } else {
+            base_sleep(base_span(0.25));
+        }
+        cJSON_Delete(ans);
+        /* A short gap gathers changes into one answer; someone who waits for one cuts it short. */
+        pthread_mutex_lock(&nudge_lock);
+        if (!nudged) base_cond_wait(&nudge_cond, &nudge_lock, cfg->tuning.watch_gap);
+        nudged = false;
+        pthread_mutex_unlock(&nudge_lock);
+    }
+    return NULL;
+}
+
+void store_mirror_start(void) {
+    base_cond_init(&nudge_cond);
+    base_thread(mirror_main, NULL);
+}
--- /dev/null
+++ b/src/store/store.h
@@ -0,0 +1,52 @@
+/* The state service: calls, rate budget, and a mirror of every key kept by a watch. */
+#ifndef FF_STORE_H
+#define FF_STORE_H
+#include "../base/base.h"
+#include "../settings/settings.h"
+
+/* What a transaction came to. REFUSED: surely not executed. UNKNOWN: may have been, or may yet be. */
+enum store_result { STORE_OK, STORE_CONFLICT, STORE_REFUSED, STORE_BAD, STORE_UNKNOWN };
+
+/* In the order in which they may use the budget. */
+enum store_class { STORE_RENEW, STORE_CANCEL, STORE_ACCEPT, STORE_BOOK, STORE_PROGRESS };
+
+struct store_txn {
+    cJSON *conds, *ops;
+    int writes;
+};
+void store_txn_init(struct store_txn *t);
+void store_txn_if(struct store_txn *t, const char *key, int64_t stamp);
+void store_txn_set(struct store_txn *t, const char *key, cJSON *data, int64_t lease); /* takes data; lease 0: none */
+void store_txn_remove(struct store_txn *t, const char *key);
+void store_txn_free(struct store_txn *t);
+
+struct store_answer {
+    int64_t epoch;
+    GPtrArray *failed; /* keys, on CONFLICT */
+};
+void store_answer_clear(struct store_answer *a);
+
+void store_init(const struct settings *s);
+enum store_result store_multi(struct http_client *c, enum store_class cls, struct store_txn *t, struct store_answer *a);
+/* OK with *data set, OK with *data NULL where the key does not exist, else REFUSED. */
+enum store_result store_get(struct http_client *c, const char *key, cJSON **data, int64_t *stamp, int64_t *epoch);
+enum store_result store_grant(struct http_client *c, struct timespec ttl, int64_t *lease);
+enum store_result store_renew(struct http_client *c, int64_t lease); /* CONFLICT: the lease has ended */
+enum store_result store_drop(struct http_client *c, int64_t lease);
+
+/* The mirror. Appliers run under store_lock; data NULL: the key is gone. The same call serves the watch, full
+ * reads and our own writes, and drops what is older than what is known. */
+typedef void (*store_applier)(const char *rest, const cJSON *data, int64_t stamp);
+void store_observe(const char *prefix, store_applier fn);
+void store_lock(void);
+void store_unlock(void);
+void store_apply(const char *key, const cJSON *data, int64_t stamp); /* with the lock held */
+int64_t store_stamp(const char *key);                               /* with the lock held; 0: not there */
+void store_refresh(struct http_client *c, const char *key);         /* reads one key and applies it */
+int64_t store_epoch(void);                                          /* with the lock held: all changes up to it are in */
+bool store_ready(void);                                             /* with the lock held: read in full once */
+struct timespec store_verified(void); /* with the lock held: when the last answered watch was sent */
+void store_mirror_start(void);
+void store_nudge(void);
+unsigned store_budget_used(void);
+#endif
--- /dev/null
+++ b/src/workers/workers.c
@@ -0,0 +1,368 @@
+#include "workers.h"
+
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../membership/membership.h"
+
+#define SENDERS 6
+
+static const struct settings *cfg;
+static pthread_mutex_t kick_lock = PTHREAD_MUTEX_INITIALIZER;
+static pthread_cond_t kick_cond;
+static bool kicked;
+
+void workers_kick(void) {
+    pthread_mutex_lock(&kick_lock);
+    kicked = true;
+    pthread_cond_signal(&kick_cond);
+    pthread_mutex_unlock(&kick_lock);
+}
+
+static enum task_state state_of(const char *s) {
+    static const char *const names[] = {"", "fetching", "gathering", "running", "flushing", "ended"};
+    for (int i = 1; i < 6; i++)
+        if (s && strcmp(s, names[i]) == 0) return (enum task_state)i;
+    return TASK_RUNNING; /* a state not known here is a task that may run */
+}
+
+static void ended(struct booking *b, const char *cause) {
+    struct job *j = b->job;
+    b->over = true;
+    if (cause && strcmp(cause, "done") == 0) {
+        b->done = true;
+        if (j->state == JOB_QUEUED) jobs_mark_done(j, b->task);
+        return;
+    }
+    log_debug("task %s/%d on %s ended: %s", j->spec.uid, b->task, b->m->id, cause ? cause : "?");
+    if (!cause || j->state != JOB_QUEUED) return;
+    if (strcmp(cause, "error") == 0) {
+        /* On one machine the machine is suspect, on several the job. */
+        b->m->faults++;
+        j->failures++;
+        j->retry_at = base_wall_in(base_span(MIN(60, 1 << MIN(j->failures, 6))));
+        log_info("task %s/%d failed on machine %s (%d times for the job)", j->spec.uid, b->task, b->m->id, j->failures);
+    } else if (strcmp(cause, "unknown") == 0) {
+        j->retry_at = base_wall_in(base_span(3));
+    } else if (strcmp(cause, "no_room") == 0 || strcmp(cause, "busy") == 0) {
+        j->retry_at = base_wall_in(base_span(1));
+    }
+}
+
+static struct booking *listed_booking(struct machine *m, const char *task, int64_t attempt) {
+    const char *slash = strrchr(task, '/');
+    if (!slash) return NULL;
+    size_t n = (size_t)(slash - task);
+    int index = (int)g_ascii_strtoll(slash + 1, NULL, 10);
+    for (guint i = 0; i < m->bookings->len; i++) {
+        struct booking *b = m->bookings->pdata[i];
+        if (b->attempt == attempt && b->task == index && strlen(b->job->spec.uid) == n && strncmp(b->job->spec.uid, task, n) == 0)
+            return b;
+    }
+    return NULL;
+}
+
+bool workers_report(struct machine *m, const cJSON *report, bool checkin) {
+    int64_t tenure = 0, seq = 0, fence = 0;
+    if (!base_int(report, "tenure", &tenure) || !base_int(report, "seq", &seq)) return false;
+    base_int(report, "fence", &fence);
+    if (tenure < m->tenure || (tenure == m->tenure && seq <= m->seq)) return false;
+    m->tenure = tenure;
+    m->seq = seq;
+    m->seen_fence = fence;
+    m->heard = base_now();
+    if (!m->up) log_info("machine %s: up", m->id);
+    m->up = true;
+    const cJSON *w = cJSON_GetObjectItemCaseSensitive(report, "warning_s");
+    if (cJSON_IsNumber(w)) {
+        if (m->warning < 0) log_info("machine %s: notice, taken in %.0f s", m->id, w->valuedouble);
+        m->warning = w->valuedouble;
+        m->warned = m->heard;
+    } else {
+        m->warning = -1;
+    }
+    if (m->unknown && !m->sending && (fence > m->unknown_fence || tenure > m->unknown_tenure)) {
+        m->unknown = false;
+        m->need_raise = false;
+    }
+    /* Under an older token than ours a former owner's commands may still come: the list proves nothing yet. */
+    if (fence < pool_token(m)) return true;
+    bool change = false;
+    g_array_set_size(m->strays, 0);
+    bool listed[256] = {false};
+    const cJSON *x;
+    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(report, "tasks")) {
+        const char *task = base_str(x, "task"), *state = base_str(x, "state");
+        int64_t attempt = 0;
+        if (!task || !base_int(x, "try", &attempt)) continue;
+        struct booking *b = listed_booking(m, task, attempt);
+        enum task_state s = state_of(state);
+        if (!b) {
+            struct stray st = {"", attempt, s == TASK_ENDED};
+            g_strlcpy(st.task, task, sizeof st.task);
+            g_array_append_val(m->strays, st);
+            continue;
+        }
+        guint at = 0;
+        g_ptr_array_find(m->bookings, b, &at);
+        if (at < 256) listed[at] = true;
+        b->seen = true;
+        if (b->state != s) b->changed = m->heard;
+        b->state = s;
+        if ((s == TASK_RUNNING || s == TASK_GATHERING) && b->job->spec.image) g_hash_table_add(m->images, g_strdup(b->job->spec.image));
+        if (s == TASK_ENDED && !b->over) {
+            ended(b, base_str(x, "cause"));
+            change = true;
+        }
+    }
+    for (guint i = 0; checkin && i < m->bookings->len && i < 256; i++) {
+        struct booking *b = m->bookings->pdata[i];
+        if (listed[i] || b->over) continue;
+        /* Not on the machine by a report that follows every answer of ours; gone only if nothing is under way. */
+        if (m->unknown || m->sending) continue;
+        bool gang_lost = b->job->spec.shape == JOB_GROUP && base_since(b->booked) > 2 * base_secs(cfg->report);
+        if (b->seen || b->stop || gang_lost) {
+            log_info("task %s/%d try %lld is gone from machine %s", b->job->spec.uid, b->task, (long long)b->attempt, m->id);
+            b->over = true;
+            change = true;
+        }
+    }
+    if (change) pool_kick();
+    return true;
+}
+
+static void add_order(cJSON *list, const char *verb, const char *task, int64_t attempt, double grace) {
+    cJSON *o = cJSON_CreateObject();
+    cJSON_AddStringToObject(o, "verb", verb);
+    cJSON_AddStringToObject(o, "task", task);
+    cJSON_AddNumberToObject(o, "try", (double)attempt);
+    if (grace >= 0) cJSON_AddNumberToObject(o, "grace_s", grace);
+    cJSON_AddItemToArray(list, o);
+}
+
+cJSON *workers_orders(struct machine *m, bool direct) {
+    cJSON *list = cJSON_CreateArray();
+    if (m->seen_fence < pool_token(m)) return list; /* first the token, then orders */
+    for (guint i = 0; i < m->strays->len && i < 200; i++) {
+        struct stray *s = &g_array_index(m->strays, struct stray, i);
+        if (s->ended)
+            add_order(list, "forget", s->task, s->attempt, -1);
+        else
+            add_order(list, "stop", s->task, s->attempt, 0);
+    }
+    for (guint i = 0; i < m->bookings->len && i < 200; i++) {
+        struct booking *b = m->bookings->pdata[i];
+        char task[96];
+        if (b->over) continue;
+        snprintf(task, sizeof task, "%s/%d", b->job->spec.uid, b->task);
+        if (b->stop) {
+            if (b->seen && (!direct || !b->stop_sent || b->grace_s <= 0)) add_order(list, "stop", task, b->attempt, b->grace_s);
+            b->stop_sent = true;
+        } else if (!b->seen && b->job->state == JOB_QUEUED && !m->returning && !m->want_return) {
+            add_order(list, "run", task, b->attempt, -1);
+        }
+    }
+    return list;
+}
+
+/* ---- reports ---- */
+
+static void go_elsewhere(struct http_req *r, const char *master) {
+    char body[128];
+    if (master && *master && strcmp(master, cfg->node) != 0)
+        snprintf(body, sizeof body, "{\"master\":\"%s\"}", master);
+    else
+        snprintf(body, sizeof body, "{}");
+    http_reply(r, 421, body, 0);
+}
+
+static void on_checkin(struct http_req *r) {
+    size_t len;
+    const char *body = http_body(r, &len);
+    cJSON *o = cJSON_ParseWithLength(body, len);
+    const char *id = base_str(o, "host"), *address = base_str(o, "address"), *sku = base_str(o, "flavour"), *site = base_str(o, "site");
+    if (!id || !sku || !site || strlen(id) > 60) {
+        http_reply(r, 400, "{\"error\":\"host, flavour or site is missing\"}", 0);
+        cJSON_Delete(o);
+        return;
+    }
+    store_lock();
+    struct machine *m = pool_find(id);
+    if (!store_ready()) {
+        http_reply(r, 503, NULL, 1);
+    } else if (!m) {
+        int k = pool_share_of(id);
+        const struct share *s = membership_share(k);
+        if (membership_mine(k)) {
+            pool_stranger(id, address ? address : "", sku, site, base_flag(o, "reclaimable"));
+            http_reply(r, 503, NULL, 1);
+        } else {
+            go_elsewhere(r, s->owner);
+        }
+    } else if (!pool_mine(m)) {
+        const struct share *s = membership_share(m->share);
+        if (strcmp(s->owner, cfg->node) == 0)
+            http_reply(r, 503, NULL, 1);
+        else
+            go_elsewhere(r, s->owner);
+    } else {
+        int64_t fence = 0;
+        base_int(o, "fence", &fence);
+        if (address && *address) g_strlcpy(m->address, address, sizeof m->address);
+        if (fence > pool_token(m)) {
+            /* Someone newer commands it. */
+            go_elsewhere(r, NULL);
+        } else if (!membership_verified()) {
+            http_reply(r, 503, NULL, 1);
+        } else {
+            bool newest = workers_report(m, o, true);
+            if (newest) pool_row(m);
+            if (m->unknown && !m->sending && pool_token(m) <= m->unknown_fence) {
+                /* A command may still be on its way: this machine's lease is renewed under a higher token only. */
+                m->need_raise = true;
+                pool_kick();
+                http_reply(r, 503, NULL, 1);
+            } else {
+                cJSON *a = cJSON_CreateObject();
+                cJSON_AddNumberToObject(a, "fence", (double)pool_token(m));
+                cJSON_AddItemToObject(a, "orders", newest ? workers_orders(m, false) : cJSON_CreateArray());
+                http_reply_json(r, 200, a, 0);
+            }
+        }
+    }
+    store_unlock();
+    cJSON_Delete(o);
+}
+
+bool workers_route(struct http_req *r) {
+    if (strcmp(http_path(r), "/checkin") != 0) return false;
+    if (strcmp(http_method(r), "POST") != 0)
+        http_reply(r, 405, NULL, 0);
+    else
+        on_checkin(r);
+    return true;
+}
+
+/* ---- direct commands ---- */
+
+struct job_queue {
+    pthread_mutex_t lock;
+    pthread_cond_t cond;
+    GQueue *q;
+};
+static struct job_queue outbox;
+
+struct letter {
+    char id[64], address[64];
+    char *body;
+    bool has_run;
+    int64_t fence, tenure, owned;
+};
+
+static void *sender_main(void *arg) {
+    (void)arg;
+    struct http_client *c = http_client_new();
+    for (;;) {
+        pthread_mutex_lock(&outbox.lock);
+        while (outbox.q->length == 0) base_cond_wait(&outbox.cond, &outbox.lock, base_span(30));
+        struct letter *l = g_queue_pop_head(outbox.q);
+        pthread_mutex_unlock(&outbox.lock);
+        char url[160];
+        long status;
+        cJSON *a = NULL;
+        snprintf(url, sizeof url, "http://%s/commands", l->address);
+        enum http_outcome out = http_call(c, "POST", url, l->body, 1500, &status, &a);
+        store_lock();
+        struct machine *m = pool_find(l->id);
+        if (m && m->sending) {
+            m->sending = false;
+            bool same = pool_mine(m) && m->owned_fence == l->owned;
+            if (out == HTTP_ANSWERED && (status == 200 || status == 409)) {
+                if (same && m->unknown_fence == l->fence && m->unknown_tenure == l->tenure) m->unknown = false;
+                if (same && a) workers_report(m, a, false);
+            } else if (out == HTTP_NOT_SENT) {
+                if (same && m->unknown_fence == l->fence && m->unknown_tenure == l->tenure) m->unknown = false;
+            } else if (!l->has_run) {
+                /* A late stop or forget harms nobody: attempts are unique. */
+                if (same && m->unknown_fence == l->fence && m->unknown_tenure == l->tenure) m->unknown = false;
+            } else if (same) {
+                log_info("machine %s: a command's outcome is not known, raising its token", m->id);
+            }
+        }
+        store_unlock();
+        cJSON_Delete(a);
+        free(l->body);
+        g_free(l);
+    }
+    return NULL;
+}
+
+static void post_letters(void) {
+    store_lock();
+    GPtrArray *ms = pool_machines();
+    for (guint i = 0; i < ms->len; i++) {
+        struct machine *m = ms->pdata[i];
+        if (!pool_mine(m) || (!m->kick && !m->hello)) continue;
+        if (!m->address[0] || m->sending || m->unknown || m->dead || (!m->up && !m->hello)) continue;
+        if (!membership_verified()) continue;
+        bool hello = m->hello;
+        m->hello = m->kick = false;
+        if (!hello && m->seen_fence < pool_token(m)) hello = true;
+        cJSON *orders = hello ? cJSON_CreateArray() : workers_orders(m, true);
+        if (!hello && cJSON_GetArraySize(orders) == 0) {
+            cJSON_Delete(orders);
+            continue;
+        }
+        struct letter *l = g_new0(struct letter, 1);
+        const cJSON *x;
+        cJSON_ArrayForEach(x, orders) l->has_run |= strcmp(base_str(x, "verb"), "run") == 0;
+        g_strlcpy(l->id, m->id, sizeof l->id);
+        g_strlcpy(l->address, m->address, sizeof l->address);
+        l->fence = pool_token(m);
+        l->tenure = m->tenure > 0 ? m->tenure : 1;
+        l->owned = m->owned_fence;
+        cJSON *o = cJSON_CreateObject();
+        cJSON_AddNumberToObject(o, "fence", (double)l->fence);
+        cJSON_AddNumberToObject(o, "tenure", (double)l->tenure);
+        cJSON_AddItemToObject(o, "orders", orders);
+        l->body = cJSON_PrintUnformatted(o);
+        cJSON_Delete(o);
+        m->sending = true;
+        m->unknown = true;
+        m->unknown_fence = l->fence;
+        m->unknown_tenure = l->tenure;
+        pthread_mutex_lock(&outbox.lock);
+        g_queue_push_tail(outbox.q, l);
+        pthread_cond_signal(&outbox.cond);
+        pthread_mutex_unlock(&outbox.lock);
+    }
+    store_unlock();
+}
+
+static void *post_main(void *arg) {
+    (void)arg;
+    for (;;) {
+        pthread_mutex_lock(&kick_lock);
+        if (!kicked) base_cond_wait(&kick_cond, &kick_lock, base_span(1));
+        kicked = false;
+        pthread_mutex_unlock(&kick_lock);
+        post_letters();
+        base_sleep(base_span(0.02));
+    }
+    return NULL;
+}
+
+void workers_init(const struct settings *s) {
+    cfg = s;
+    base_cond_init(&kick_cond);
+    pthread_mutex_init(&outbox.lock, NULL);
+    base_cond_init(&outbox.cond);
+    outbox.q = g_queue_new();
+}
+
+void workers_start(void) {
+    base_thread(post_main, NULL);
+    for (int i = 0; i < SENDERS; i++) base_thread(sender_main, NULL);
+}
--- /dev/null
+++ b/src/workers/workers.h
@@ -0,0 +1,15 @@
+/* Dealings with workers: reports in, orders out, tokens. */
+#ifndef FF_WORKERS_H
+#define FF_WORKERS_H
+#include "../pool/pool.h"
+
+void workers_init(const struct settings *s);
+void workers_start(void);
+void workers_kick(void);
+bool workers_route(struct http_req *r);
+
+/* With store_lock held. Takes in a report. checkin: false for the body of a direct command's answer, which proves
+ * nothing about orders that may still travel in a report's answer. False: the report is older than what is known. */
+bool workers_report(struct machine *m, const cJSON *report, bool checkin);
+cJSON *workers_orders(struct machine *m, bool direct); /* an array */
+#endif
