--- a/src/main.c
+++ b/src/main.c
@@ -1,44 +1,18 @@
-/* Wires the slices together; every decision is theirs. */
+/* The command line. */
 #include <glib.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
-#include "cloud/cloud.h"
-#include "jobs/jobs.h"
-#include "membership/membership.h"
-#include "peers/peers.h"
-#include "pool/pool.h"
+#include "base/base.h"
+#include "service.h"
 #include "settings/settings.h"
-#include "store/store.h"
-#include "workers/workers.h"
 
 #define VERSION "0.1.0"
 
 static struct settings cfg;
 
-static void on_request(struct http_req *r, void *ctx) {
-    (void)ctx;
-    if (strcmp(http_path(r), "/up") == 0) {
-        if (strcmp(http_method(r), "GET") != 0) {
-            http_reply(r, 405, NULL, 0);
-            return;
-        }
-        store_lock();
-        bool sees = store_ready() && base_since(store_verified()) < 5;
-        bool first = !store_ready();
-        store_unlock();
-        /* Refused by the store while peers are served: others can help the users. In an outage that all see, the
-         * nodes stay and say when to come back. */
-        bool up = sees || (!first && !peers_see_store());
-        http_reply(r, up ? 200 : 503, NULL, up ? 0 : 1);
-        return;
-    }
-    if (workers_route(r) || jobs_route(r)) return;
-    http_reply(r, 404, "{\"error\":\"no such path\"}", 0);
-}
-
 int main(int argc, char **argv) {
     gchar *config = NULL;
     gboolean check = FALSE, version = FALSE;
@@ -78,31 +52,13 @@
     }
     base_log_init(getenv("LOG_LEVEL"));
     log_info("fieldfield " VERSION " on %s", cfg.node);
-    store_init(&cfg);
-    membership_init(&cfg);
-    peers_init(&cfg);
-    jobs_init(&cfg);
-    workers_init(&cfg);
-    cloud_init(&cfg);
-    pool_init(&cfg);
-    jobs_start();
-    if (!http_serve(cfg.bind, (unsigned)cfg.sockets * 3 / 4, on_request, NULL) || !peers_start()) {
+    service_init(&cfg);
+    if (!service_start(&cfg)) {
         fprintf(stderr, "fieldfield: bind or cluster_listen: cannot listen\n");
         return 1;
     }
-    store_mirror_start();
-    membership_start();
-    pool_start();
-    workers_start();
-    cloud_start();
-    unsigned last = 0;
     for (;;) {
         sleep(10);
-        unsigned now = store_budget_used();
-        store_lock();
-        log_info("status: %u unfinished jobs, %u machines, store %.1f calls/s, store seen %.1f s ago", jobs_active()->len,
-                 pool_machines()->len, (now - last) / 10.0, base_since(store_verified()));
-        store_unlock();
-        last = now;
+        service_tell();
     }
 }
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -1009,7 +1009,7 @@
  * consequence: with the same time for both, a controller that lost all workers at once found the first of them silent
  * while it had "just" heard the others, and returned one healthy machine after the other. */
 static void count_heard(int *up, int *heard, int *reported) {
-    double lately = base_secs(cfg->report) * 1.25 + 1;
+    double lately = MIN(base_secs(cfg->report) * 1.25 + 1, base_secs(cfg->tuning.silent_return) * 0.6);
     *up = *heard = *reported = 0;
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
--- /dev/null
+++ b/src/pool/pool_test.c
@@ -0,0 +1,184 @@
+/* The whole service in one process against stand-ins of state service, cloud and workers, with short times. */
+#include "pool/pool.h"
+
+#include <string.h>
+
+#include "../../tests/standin/fleet.h"
+#include "../../tests/standin/site.h"
+#include "../../tests/standin/state.h"
+#include "cloud/cloud.h"
+#include "membership/membership.h"
+#include "peers/peers.h"
+#include "service.h"
+#include "workers/workers.h"
+
+static struct settings cfg;
+static struct http_client *c;
+
+static long ask(const char *method, const char *path, const char *body, char *state, size_t n) {
+    char url[160];
+    long status = 0;
+    cJSON *a = NULL;
+    g_snprintf(url, sizeof url, "http://%s%s", cfg.bind, path);
+    http_call(c, method, url, body, 4000, &status, &a);
+    if (state) g_strlcpy(state, base_str(a, "state") ? base_str(a, "state") : "", n);
+    cJSON_Delete(a);
+    return status;
+}
+
+static long submit(const char *uid, const char *shape, int tasks) {
+    char *body = g_strdup_printf(
+        "{\"uid\":\"%s\",\"jobclass\":\"c\",\"owner\":\"red\",\"shape\":\"%s\",\"rank\":\"high\",\"tasks\":%d,\"vcpus\":2,\"gpus\":1,"
+        "\"memory_gb\":4,\"image\":\"i\",\"pull_gb\":1,\"together\":false,\"spread\":false,\"reclaimable\":false,\"runtime_s\":1,"
+        "\"checkpoint_s\":0,\"flush_s\":0}",
+        uid, shape, tasks);
+    long status = 0;
+    for (int i = 0; i < 40 && status != 200 && status != 201; i++) {
+        status = ask("POST", "/work", body, NULL, 0);
+        if (status >= 429) base_sleep(base_span(0.25));
+    }
+    g_free(body);
+    return status;
+}
+
+static bool becomes(const char *uid, const char *want, double within) {
+    char path[80], state[32];
+    struct timespec start = base_now();
+    g_snprintf(path, sizeof path, "/work/%s", uid);
+    while (base_since(start) < within) {
+        if (ask("GET", path, NULL, state, sizeof state) == 200 && strcmp(state, want) == 0) return true;
+        base_sleep(base_span(0.1));
+    }
+    return false;
+}
+
+static bool until(int (*fn)(void), int least, double within) {
+    struct timespec start = base_now();
+    while (base_since(start) < within) {
+        if (fn() >= least) return true;
+        base_sleep(base_span(0.05));
+    }
+    return false;
+}
+
+static void answers(void **state) {
+    (void)state;
+    static const struct {
+        const char *method, *path;
+        long status;
+    } rows[] = {{"GET", "/nowhere", 404},          {"GET", "/work", 405},        {"DELETE", "/work/req-10001", 405},
+                {"GET", "/work/req-777", 404},     {"GET", "/work/other", 404},  {"POST", "/work/req-777/cancel", 404},
+                {"POST", "/work/req-777/stop", 404}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        long got = 503;
+        for (int n = 0; n < 40 && got == 503; n++) {
+            got = ask(rows[i].method, rows[i].path, strcmp(rows[i].method, "POST") == 0 ? "{}" : NULL, NULL, 0);
+            if (got == 503) base_sleep(base_span(0.1));
+        }
+        if (got != rows[i].status) fail_msg("%s %s: %ld", rows[i].method, rows[i].path, got);
+    }
+    assert_int_equal(ask("POST", "/work", "{\"uid\":1}", NULL, 0), 400);
+}
+
+static void runs_a_job(void **state) {
+    (void)state;
+    assert_int_equal(submit("req-10001", "batch", 5), 201);
+    assert_int_equal(submit("req-10001", "batch", 5), 200);
+    assert_true(becomes("req-10001", "done", 15));
+    assert_int_equal(submit("req-10001", "batch", 5), 200);
+    assert_int_equal(standin_cloud_claims_reused(), 0);
+}
+
+static void cancels(void **state) {
+    (void)state;
+    char s[32];
+    assert_int_equal(submit("req-90001", "standing", 2), 201);
+    assert_true(becomes("req-90001", "running", 10));
+    struct timespec start = base_now();
+    while (standin_workers_running("req-90001/1") == 0 && base_since(start) < 5) base_sleep(base_span(0.05));
+    assert_int_equal(standin_workers_running("req-90001/1"), 1);
+    assert_int_equal(ask("POST", "/work/req-90001/cancel", "{}", s, sizeof s), 200);
+    assert_string_equal(s, "cancelled");
+    start = base_now();
+    while (standin_workers_running("req-90001/0") + standin_workers_running("req-90001/1") && base_since(start) < 3)
+        base_sleep(base_span(0.05));
+    assert_int_equal(standin_workers_running("req-90001/0") + standin_workers_running("req-90001/1"), 0);
+    assert_int_equal(submit("req-90001", "standing", 2), 200);
+    assert_true(becomes("req-90001", "cancelled", 1));
+}
+
+/* In an outage users are refused at once; what was accepted runs on and is told again afterwards. */
+static void outage(void **state) {
+    (void)state;
+    char s[32];
+    assert_int_equal(submit("req-90002", "standing", 1), 201);
+    assert_true(becomes("req-90002", "running", 10));
+    standin_state_trouble(STANDIN_OUTAGE);
+    struct timespec start = base_now();
+    assert_int_equal(ask("GET", "/work/req-90002", NULL, s, sizeof s), 503);
+    assert_true(base_since(start) < 2);
+    base_sleep(base_span(0.6));
+    standin_state_trouble(STANDIN_NONE);
+    assert_true(becomes("req-90002", "running", 5));
+    int before = standin_workers_starts();
+    /* A transaction whose answer is lost is neither repeated blindly nor forgotten. */
+    standin_state_trouble(STANDIN_LOST_ANSWER);
+    assert_true(submit("req-10003", "batch", 2) / 100 == 2);
+    assert_true(becomes("req-10003", "done", 15));
+    assert_true(standin_workers_starts() >= before + 2);
+    assert_int_equal(standin_workers_most(), 1);
+}
+
+/* A machine that falls silent is returned, and its task starts elsewhere only then. */
+static void silent_machine(void **state) {
+    (void)state;
+    int at = -1, before = standin_cloud_returned();
+    store_lock();
+    struct job *j = jobs_find("req-90002");
+    assert_int_equal(j->bookings->len, 1);
+    at = (int)g_ascii_strtoll(((struct booking *)j->bookings->pdata[0])->m->id + 2, NULL, 10);
+    store_unlock();
+    assert_int_equal(submit("req-90004", "standing", 4), 201); /* others, so that one silent machine is not all */
+    assert_true(becomes("req-90004", "running", 10));
+    standin_workers_mute_one(at);
+    assert_true(until(standin_cloud_returned, before + 1, 10));
+    struct timespec start = base_now();
+    while (standin_workers_running("req-90002/0") != 1 && base_since(start) < 8) base_sleep(base_span(0.05));
+    assert_int_equal(standin_workers_running("req-90002/0"), 1);
+    assert_int_equal(standin_workers_most(), 1);
+}
+
+/* Deaf to all workers at once: it is us, not them. Nothing is returned. */
+static void deaf(void **state) {
+    (void)state;
+    int before = standin_cloud_returned();
+    standin_workers_mute(true);
+    base_sleep(base_span(3.5));
+    assert_int_equal(standin_cloud_returned(), before);
+    standin_workers_mute(false);
+    assert_true(becomes("req-90002", "running", 5));
+    assert_int_equal(standin_workers_most(), 1);
+}
+
+int main(void) {
+    char err[256];
+    char *text = site_with(SITE_JSON, "\"report_s\":3,\"lease_s\":20,\"gang_wait_s\":30,\"gang_peer_s\":5,\"cancel_s\":40",
+                           "\"report_s\":0.3,\"lease_s\":20,\"gang_wait_s\":30,\"gang_peer_s\":5,\"cancel_s\":40");
+    char *quick = site_with(text, "{\"rps\":2,", "{\"rps\":50,");
+    if (!settings_parse(quick, "f.json", &cfg, err, sizeof err)) return 1;
+    g_free(text);
+    g_free(quick);
+    cfg.state_rps = 1000;
+    cfg.state_write_rps = 500;
+    cfg.tuning.silent_return = base_span(1);
+    cfg.n_seeds = 0;
+    cfg.teams[0].gpus_max = 0;
+    if (!standin_state_start(cfg.state) || !standin_cloud_start(cfg.cloud, cfg.bind)) return 1;
+    base_log_init("error");
+    c = http_client_new();
+    service_init(&cfg);
+    if (!service_start(&cfg)) return 1;
+    const struct CMUnitTest tests[] = {cmocka_unit_test(answers), cmocka_unit_test(runs_a_job),     cmocka_unit_test(cancels),
+                                       cmocka_unit_test(outage),  cmocka_unit_test(silent_machine), cmocka_unit_test(deaf)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/service.c
@@ -0,0 +1,64 @@
+/* Wires the slices together; every decision is theirs. */
+#include "service.h"
+
+#include <string.h>
+
+#include "cloud/cloud.h"
+#include "jobs/jobs.h"
+#include "membership/membership.h"
+#include "peers/peers.h"
+#include "pool/pool.h"
+#include "store/store.h"
+#include "workers/workers.h"
+
+static void on_request(struct http_req *r, void *ctx) {
+    (void)ctx;
+    if (strcmp(http_path(r), "/up") == 0) {
+        if (strcmp(http_method(r), "GET") != 0) {
+            http_reply(r, 405, NULL, 0);
+            return;
+        }
+        store_lock();
+        bool sees = store_ready() && base_since(store_verified()) < 5;
+        bool first = !store_ready();
+        store_unlock();
+        /* Refused by the store while peers are served: others can help the users. In an outage that all see, the
+         * nodes stay and say when to come back. */
+        bool up = sees || (!first && !peers_see_store());
+        http_reply(r, up ? 200 : 503, NULL, up ? 0 : 1);
+        return;
+    }
+    if (workers_route(r) || jobs_route(r)) return;
+    http_reply(r, 404, "{\"error\":\"no such path\"}", 0);
+}
+
+void service_init(const struct settings *s) {
+    store_init(s);
+    membership_init(s);
+    peers_init(s);
+    jobs_init(s);
+    workers_init(s);
+    cloud_init(s);
+    pool_init(s);
+}
+
+bool service_start(const struct settings *s) {
+    jobs_start();
+    if (!http_serve(s->bind, (unsigned)s->sockets * 3 / 4, on_request, NULL) || !peers_start()) return false;
+    store_mirror_start();
+    membership_start();
+    pool_start();
+    workers_start();
+    cloud_start();
+    return true;
+}
+
+void service_tell(void) {
+    static unsigned last = 0;
+    unsigned now = store_budget_used();
+    store_lock();
+    log_info("status: %u unfinished jobs, %u machines, store %.1f calls/s, store seen %.1f s ago", jobs_active()->len,
+             pool_machines()->len, (now - last) / 10.0, base_since(store_verified()));
+    store_unlock();
+    last = now;
+}
--- /dev/null
+++ b/tests/standin/fleet.c
@@ -0,0 +1,231 @@
+#include "fleet.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MOST 32
+#define RUN_S 0.6
+
+struct task {
+    char name[64];
+    int64_t attempt;
+    bool ended, stays;
+    char cause[16];
+    struct timespec since;
+};
+struct worker {
+    char id[32], address[32];
+    bool alive, spot, muted;
+    int64_t tenure, seq, fence;
+    GArray *tasks;
+};
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static struct worker workers[MOST];
+static int n_workers, returned, reused, starts, most;
+static bool refuse, mute;
+static const char *controller_url;
+static GHashTable *claims; /* claim -> order text */
+
+static int running_now(const char *task) {
+    int n = 0;
+    for (int i = 0; i < n_workers; i++)
+        for (guint t = 0; workers[i].alive && t < workers[i].tasks->len; t++) {
+            struct task *x = &g_array_index(workers[i].tasks, struct task, t);
+            n += !x->ended && strcmp(x->name, task) == 0;
+        }
+    return n;
+}
+
+static cJSON *report_of(struct worker *w) {
+    cJSON *o = cJSON_CreateObject(), *list;
+    cJSON_AddStringToObject(o, "host", w->id);
+    cJSON_AddStringToObject(o, "address", w->address);
+    cJSON_AddStringToObject(o, "flavour", "g4");
+    cJSON_AddStringToObject(o, "site", "za");
+    cJSON_AddBoolToObject(o, "reclaimable", w->spot);
+    cJSON_AddNumberToObject(o, "tenure", (double)w->tenure);
+    cJSON_AddNumberToObject(o, "seq", (double)++w->seq);
+    cJSON_AddNumberToObject(o, "fence", (double)w->fence);
+    list = cJSON_AddArrayToObject(o, "tasks");
+    for (guint t = 0; t < w->tasks->len; t++) {
+        struct task *x = &g_array_index(w->tasks, struct task, t);
+        if (!x->ended && !x->stays && base_since(x->since) > RUN_S) {
+            x->ended = true;
+            g_strlcpy(x->cause, "done", sizeof x->cause);
+        }
+        cJSON *e = cJSON_CreateObject();
+        cJSON_AddStringToObject(e, "task", x->name);
+        cJSON_AddNumberToObject(e, "try", (double)x->attempt);
+        cJSON_AddStringToObject(e, "state", x->ended ? "ended" : "running");
+        if (x->ended) cJSON_AddStringToObject(e, "cause", x->cause);
+        cJSON_AddItemToArray(list, e);
+    }
+    return o;
+}
+
+static void obey(struct worker *w, const cJSON *answer) {
+    int64_t fence = 0;
+    if (!base_int(answer, "fence", &fence) || fence < w->fence) return;
+    w->fence = fence;
+    const cJSON *x;
+    cJSON_ArrayForEach(x, cJSON_GetObjectItem(answer, "orders")) {
+        const char *verb = base_str(x, "verb"), *task = base_str(x, "task");
+        int64_t attempt = 0;
+        base_int(x, "try", &attempt);
+        struct task *have = NULL;
+        guint at = 0;
+        for (guint t = 0; t < w->tasks->len; t++) {
+            struct task *y = &g_array_index(w->tasks, struct task, t);
+            if (y->attempt == attempt && strcmp(y->name, task) == 0) {
+                have = y;
+                at = t;
+            }
+        }
+        if (strcmp(verb, "run") == 0 && !have) {
+            struct task y;
+            memset(&y, 0, sizeof y);
+            g_strlcpy(y.name, task, sizeof y.name);
+            y.attempt = attempt;
+            y.since = base_now();
+            y.stays = strncmp(task, "req-9", 5) == 0;
+            g_array_append_val(w->tasks, y);
+            starts++;
+            most = MAX(most, running_now(task));
+        } else if (strcmp(verb, "stop") == 0 && have && !have->ended) {
+            have->ended = true;
+            g_strlcpy(have->cause, "stopped", sizeof have->cause);
+        } else if (strcmp(verb, "forget") == 0 && have && have->ended) {
+            g_array_remove_index(w->tasks, at);
+        }
+    }
+}
+
+static void on_commands(struct http_req *r, void *ctx) {
+    struct worker *w = ctx;
+    size_t len;
+    const char *body = http_body(r, &len);
+    cJSON *o = cJSON_ParseWithLength(body, len);
+    pthread_mutex_lock(&lock);
+    if (!w->alive || mute || w->muted) {
+        pthread_mutex_unlock(&lock);
+        cJSON_Delete(o);
+        http_reply(r, 500, NULL, 0);
+        return;
+    }
+    int64_t fence = 0, tenure = 0;
+    bool good = base_int(o, "fence", &fence) && base_int(o, "tenure", &tenure) && fence >= w->fence && tenure == w->tenure;
+    if (good) obey(w, o);
+    cJSON *rep = report_of(w);
+    pthread_mutex_unlock(&lock);
+    cJSON_Delete(o);
+    http_reply_json(r, good ? 200 : 409, rep, 0);
+}
+
+static void *worker_main(void *arg) {
+    struct worker *w = arg;
+    struct http_client *c = http_client_new();
+    char url[96];
+    g_snprintf(url, sizeof url, "http://%s/checkin", controller_url);
+    for (;;) {
+        base_sleep(base_span(0.15));
+        pthread_mutex_lock(&lock);
+        bool quiet = mute || w->muted, alive = w->alive;
+        cJSON *rep = report_of(w);
+        pthread_mutex_unlock(&lock);
+        char *text = cJSON_PrintUnformatted(rep);
+        cJSON_Delete(rep);
+        long status = 0;
+        cJSON *a = NULL;
+        if (alive && !quiet && http_call(c, "POST", url, text, 1000, &status, &a) == HTTP_ANSWERED && status == 200) {
+            pthread_mutex_lock(&lock);
+            obey(w, a);
+            pthread_mutex_unlock(&lock);
+        }
+        cJSON_Delete(a);
+        free(text);
+        if (!alive) break;
+    }
+    http_client_free(c);
+    return NULL;
+}
+
+static cJSON *rent(const cJSON *o) {
+    int64_t n = 0;
+    base_int(o, "how_many", &n);
+    cJSON *out = cJSON_CreateObject(), *hosts = cJSON_AddArrayToObject(out, "hosts");
+    for (int64_t i = 0; i < n && n_workers < MOST; i++) {
+        struct worker *w = &workers[n_workers];
+        g_snprintf(w->id, sizeof w->id, "i-%06d", n_workers);
+        g_snprintf(w->address, sizeof w->address, "127.0.0.1:%d", 18300 + n_workers);
+        w->spot = base_flag(o, "reclaimable");
+        w->alive = true;
+        w->tenure = 1;
+        w->tasks = g_array_new(FALSE, FALSE, sizeof(struct task));
+        n_workers++;
+        http_serve(w->address, 16, on_commands, w);
+        base_thread(worker_main, w);
+        cJSON_AddItemToArray(hosts, cJSON_CreateString(w->id));
+    }
+    return out;
+}
+
+static void on_cloud(struct http_req *r, void *ctx) {
+    (void)ctx;
+    size_t len;
+    const char *p = http_path(r), *body = http_body(r, &len);
+    cJSON *o = cJSON_ParseWithLength(body, len), *out = NULL;
+    unsigned status = 200;
+    pthread_mutex_lock(&lock);
+    if (strcmp(p, "/flavors") == 0) {
+        out = cJSON_Parse("{\"flavours\":[{\"sku\":\"g4\",\"vcpus\":16,\"gpus\":4,\"memory_gb\":64,\"local_gb\":50,"
+                          "\"fetch_gb_per_s\":1,\"hourly\":10,\"market_price\":3,\"startup_s\":1,\"sites\":[\"za\"]}]}");
+    } else if (strcmp(p, "/rentals/return") == 0) {
+        const cJSON *x;
+        cJSON_ArrayForEach(x, cJSON_GetObjectItem(o, "hosts"))
+            for (int i = 0; i < n_workers; i++)
+                if (strcmp(workers[i].id, x->valuestring) == 0 && workers[i].alive) {
+                    workers[i].alive = false;
+                    returned++;
+                }
+        out = cJSON_CreateObject();
+    } else if (strcmp(http_method(r), "POST") == 0) {
+        const char *claim = base_str(o, "claim"), *old = g_hash_table_lookup(claims, claim);
+        char *text = cJSON_PrintUnformatted(o);
+        if (old && strcmp(old, text) != 0) reused++;
+        g_hash_table_insert(claims, g_strdup(claim), g_strdup(text));
+        free(text);
+        status = refuse ? 503 : 200;
+        out = refuse ? cJSON_Parse("{\"error\":\"no capacity\"}") : rent(o);
+    } else {
+        out = cJSON_Parse("{\"hosts\":[],\"has_next\":false}");
+    }
+    pthread_mutex_unlock(&lock);
+    cJSON_Delete(o);
+    http_reply_json(r, status, out, 0);
+}
+
+bool standin_cloud_start(const char *address, const char *controller) {
+    controller_url = controller;
+    claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    return http_serve(address, 16, on_cloud, NULL) != NULL;
+}
+
+#define SET(body)                \
+    pthread_mutex_lock(&lock);   \
+    body;                        \
+    pthread_mutex_unlock(&lock);
+#define GET(expr)                \
+    pthread_mutex_lock(&lock);   \
+    int v = (expr);              \
+    pthread_mutex_unlock(&lock); \
+    return v;
+void standin_cloud_refuse(bool no) { SET(refuse = no) }
+int standin_cloud_rented(void) { GET(n_workers) }
+int standin_cloud_returned(void) { GET(returned) }
+int standin_cloud_claims_reused(void) { GET(reused) }
+void standin_workers_mute(bool all) { SET(mute = all) }
+void standin_workers_mute_one(int index) { SET(workers[index].muted = true) }
+int standin_workers_running(const char *task) { GET(running_now(task)) }
+int standin_workers_most(void) { GET(most) }
+int standin_workers_starts(void) { GET(starts) }
--- /dev/null
+++ b/tests/standin/fleet.h
@@ -0,0 +1,17 @@
+/* Stand-ins of the cloud and of workers: enough of both to rent, run, fall silent and be returned. */
+#ifndef FF_STANDIN_FLEET_H
+#define FF_STANDIN_FLEET_H
+#include "base/base.h"
+
+bool standin_cloud_start(const char *address, const char *controller);
+void standin_cloud_refuse(bool no_capacity);
+int standin_cloud_rented(void);
+int standin_cloud_returned(void);
+int standin_cloud_claims_reused(void); /* a claim used for two different orders */
+
+void standin_workers_mute(bool all); /* neither report nor answer */
+void standin_workers_mute_one(int index);
+int standin_workers_running(const char *task); /* on how many machines the task is now */
+int standin_workers_most(void);                /* the most machines that ever ran one task at the same time */
+int standin_workers_starts(void);
+#endif
