--- a/src/base/base.c
+++ b/src/base/base.c
@@ -26,7 +26,9 @@
 
 void base_sleep(struct timespec span) { nanosleep(&span, NULL); }
 
-struct timespec base_wall_in(struct timespec span) { return base_span(base_secs(base_now()) + base_secs(span)); }
+struct timespec base_wall_in(struct timespec span) {
+    return base_span(base_secs(base_now()) + base_secs(span));
+}
 
 void base_cond_init(pthread_cond_t *c) {
     pthread_condattr_t a;
@@ -41,6 +43,32 @@
     return pthread_cond_timedwait(c, m, &until) == 0;
 }
 
+double base_time_of_day(void) {
+    struct timespec t;
+    clock_gettime(CLOCK_REALTIME, &t);
+    return base_secs(t);
+}
+
+void base_bell_init(struct base_bell *b) {
+    pthread_mutex_init(&b->lock, NULL);
+    base_cond_init(&b->cond);
+    b->rung = false;
+}
+
+void base_bell_ring(struct base_bell *b) {
+    pthread_mutex_lock(&b->lock);
+    b->rung = true;
+    pthread_cond_signal(&b->cond);
+    pthread_mutex_unlock(&b->lock);
+}
+
+void base_bell_await(struct base_bell *b, struct timespec most) {
+    pthread_mutex_lock(&b->lock);
+    if (!b->rung) base_cond_wait(&b->cond, &b->lock, most);
+    b->rung = false;
+    pthread_mutex_unlock(&b->lock);
+}
+
 int base_thread(void *(*fn)(void *), void *arg) {
     /* Small stacks: the memory limit counts what is held, and no slice recurses deeply. */
     pthread_attr_t a;
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -3,6 +3,7 @@
 #define FF_BASE_H
 #include <cjson/cJSON.h>
 #include <glib.h>
+#include <pthread.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <time.h>
@@ -17,6 +18,17 @@
 struct timespec base_wall_in(struct timespec span); /* CLOCK_MONOTONIC deadline for base_cond_wait */
 void base_cond_init(pthread_cond_t *c);
 bool base_cond_wait(pthread_cond_t *c, pthread_mutex_t *m, struct timespec span); /* false: time ran out */
+double base_time_of_day(void);
+
+/* A bell that wakes one waiting thread; rung while nobody waits, the next wait returns at once. */
+struct base_bell {
+    pthread_mutex_t lock;
+    pthread_cond_t cond;
+    bool rung;
+};
+void base_bell_init(struct base_bell *b);
+void base_bell_ring(struct base_bell *b);
+void base_bell_await(struct base_bell *b, struct timespec most);
 int base_thread(void *(*fn)(void *), void *arg);
 
 void base_log_init(const char *level);
@@ -48,6 +60,6 @@
 enum http_outcome { HTTP_ANSWERED, HTTP_NOT_SENT, HTTP_UNKNOWN };
 struct http_client *http_client_new(void);
 void http_client_free(struct http_client *c);
-enum http_outcome http_call(struct http_client *c, const char *method, const char *url, const char *body, long timeout_ms,
-                            long *status, cJSON **answer);
+enum http_outcome http_call(struct http_client *c, const char *method, const char *url, const char *body,
+                            long timeout_ms, long *status, cJSON **answer);
 #endif
--- a/src/base/http.c
+++ b/src/base/http.c
@@ -55,8 +55,7 @@
 }
 
 static enum MHD_Result send_ready(struct http_req *r) {
-    struct MHD_Response *resp =
-        MHD_create_response_from_buffer(strlen(r->answer), r->answer, MHD_RESPMEM_MUST_COPY);
+    struct MHD_Response *resp = MHD_create_response_from_buffer(strlen(r->answer), r->answer, MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(resp, "Content-Type", "application/json");
     if (r->retry_after_s > 0) {
         char t[16];
@@ -181,8 +180,8 @@
     g_free(c);
 }
 
-enum http_outcome http_call(struct http_client *c, const char *method, const char *url, const char *body, long timeout_ms,
-                            long *status, cJSON **answer) {
+enum http_outcome http_call(struct http_client *c, const char *method, const char *url, const char *body,
+                            long timeout_ms, long *status, cJSON **answer) {
     if (answer) *answer = NULL;
     *status = 0;
     g_string_truncate(c->in, 0);
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -20,9 +20,7 @@
 };
 static GHashTable *closed_at; /* "sku site kind" -> closed */
 
-static pthread_mutex_t kick_lock = PTHREAD_MUTEX_INITIALIZER;
-static pthread_cond_t kick_cond;
-static bool kicked;
+static struct base_bell bell;
 
 bool cloud_flavours_known(void) { return n_flavours > 0; }
 const struct flavour_info *cloud_flavours(void) { return flavours; }
@@ -69,15 +67,11 @@
     }
     c->pause = c->pause > 0 ? MIN(c->pause * 2, 60) : 7;
     c->until = base_wall_in(base_span(c->pause));
-    log_info("cloud: no capacity for %s in %s (%s), asking again in %.0f s", o->sku, o->site, o->spot ? "spot" : "ordinary", c->pause);
+    log_info("cloud: no capacity for %s in %s (%s), asking again in %.0f s", o->sku, o->site,
+             o->spot ? "spot" : "ordinary", c->pause);
 }
 
-void cloud_kick(void) {
-    pthread_mutex_lock(&kick_lock);
-    kicked = true;
-    pthread_cond_signal(&kick_cond);
-    pthread_mutex_unlock(&kick_lock);
-}
+void cloud_kick(void) { base_bell_ring(&bell); }
 
 /* The cloud counts the calls of all controllers: each keeps to its part. */
 static double tokens;
@@ -95,7 +89,8 @@
     return true;
 }
 
-static enum http_outcome call(struct http_client *c, const char *method, const char *path, const char *body, cJSON **answer, long *status) {
+static enum http_outcome call(struct http_client *c, const char *method, const char *path, const char *body,
+                              cJSON **answer, long *status) {
     char url[256];
     snprintf(url, sizeof url, "http://%s%s", cfg->cloud, path);
     enum http_outcome o = http_call(c, method, url, body, 5000, status, answer);
@@ -127,8 +122,9 @@
             const cJSON *s;
             for (int i = 0; i < f->n_sites; i++) g_free(f->sites[i]);
             f->n_sites = 0;
-            cJSON_ArrayForEach(s, cJSON_GetObjectItemCaseSensitive(x, "sites"))
-                if (cJSON_IsString(s) && f->n_sites < 32) f->sites[f->n_sites++] = g_strdup(s->valuestring);
+            cJSON_ArrayForEach(s,
+                               cJSON_GetObjectItemCaseSensitive(x, "sites")) if (cJSON_IsString(s) && f->n_sites < 32)
+                f->sites[f->n_sites++] = g_strdup(s->valuestring);
         }
         store_unlock();
     }
@@ -194,8 +190,7 @@
     if (out == HTTP_ANSWERED && status == 200) {
         const cJSON *x, *hosts = cJSON_GetObjectItemCaseSensitive(a, "hosts");
         store_lock();
-        cJSON_ArrayForEach(x, hosts)
-            if (cJSON_IsString(x)) pool_rented(o.share, &o, x->valuestring);
+        cJSON_ArrayForEach(x, hosts) if (cJSON_IsString(x)) pool_rented(o.share, &o, x->valuestring);
         note_capacity(&o, cJSON_GetArraySize(hosts) >= o.count);
         store_unlock();
         log_info("cloud: rented %d of %d %s in %s (%s) for share %d", cJSON_GetArraySize(hosts), o.count, o.sku, o.site,
@@ -242,10 +237,7 @@
     struct timespec listed = {0, 0}, typed = {0, 0};
     double list_every = MAX(5, 6 / cfg->cloud_rps * 3);
     for (;;) {
-        pthread_mutex_lock(&kick_lock);
-        if (!kicked) base_cond_wait(&kick_cond, &kick_lock, base_span(0.25));
-        kicked = false;
-        pthread_mutex_unlock(&kick_lock);
+        base_bell_await(&bell, base_span(0.25));
         if (!n_flavours || base_since(typed) > 120) {
             if (!may_call()) continue;
             read_flavours(c);
@@ -282,7 +274,7 @@
     closed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     tokens_at = base_now();
     tokens = 1;
-    base_cond_init(&kick_cond);
+    base_bell_init(&bell);
 }
 
 void cloud_start(void) { base_thread(cloud_main, NULL); }
--- a/src/cloud/cloud.h
+++ b/src/cloud/cloud.h
@@ -12,5 +12,5 @@
 int cloud_flavours_count(void);
 const struct flavour_info *cloud_flavour(const char *sku);
 void cloud_reopen(const char *sku, const char *site, bool spot); /* a machine of this kind was given back */
-bool cloud_open(const char *sku, const char *site, bool spot); /* has not just refused */
+bool cloud_open(const char *sku, const char *site, bool spot);   /* has not just refused */
 #endif
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -1,5 +1,6 @@
 #include "jobs.h"
 
+#include <gsl/gsl_histogram.h>
 #include <math.h>
 #include <pthread.h>
 #include <stdio.h>
@@ -139,7 +140,8 @@
     return rc;
 }
 
-int jobs_feasible(const struct job_spec *j, const struct settings *s, const struct flavour_info *f, int nf, char *why, size_t n) {
+int jobs_feasible(const struct job_spec *j, const struct settings *s, const struct flavour_info *f, int nf, char *why,
+                  size_t n) {
     if (j->team < 0) {
         g_strlcpy(why, "owner: unknown team", n);
         return 422;
@@ -149,7 +151,8 @@
         if (j->flavours && !g_strv_contains((const char *const *)j->flavours, f[i].sku)) continue;
         bool here = !j->site;
         for (int z = 0; z < f[i].n_sites && !here; z++) here = strcmp(f[i].sites[z], j->site) == 0;
-        fits = here && j->vcpus <= f[i].vcpus + 1e-9 && j->gpus <= f[i].gpus + 1e-9 && j->memory_gb <= f[i].memory_gb + 1e-9;
+        fits = here && j->vcpus <= f[i].vcpus + 1e-9 && j->gpus <= f[i].gpus + 1e-9 &&
+               j->memory_gb <= f[i].memory_gb + 1e-9;
     }
     if (!fits) {
         g_strlcpy(why, "a task fits no allowed machine type", n);
@@ -157,7 +160,8 @@
     }
     const struct settings_team *t = &s->teams[j->team];
     double m = j->shape == JOB_BATCH ? 1 : j->tasks;
-    if ((t->cpus_max > 0 && m * j->vcpus > t->cpus_max + 1e-9) || (t->gpus_max > 0 && m * j->gpus > t->gpus_max + 1e-9)) {
+    if ((t->cpus_max > 0 && m * j->vcpus > t->cpus_max + 1e-9) ||
+        (t->gpus_max > 0 && m * j->gpus > t->gpus_max + 1e-9)) {
         g_strlcpy(why, "needs more than the team's limit", n);
         return 422;
     }
@@ -166,14 +170,9 @@
 
 /* ---- records ---- */
 
-static double time_of_day(void) {
-    struct timespec t;
-    clock_gettime(CLOCK_REALTIME, &t);
-    return base_secs(t);
+struct job *jobs_find(const char *uid) {
+    return g_hash_table_lookup(all, uid);
 }
-
-
-struct job *jobs_find(const char *uid) { return g_hash_table_lookup(all, uid); }
 GPtrArray *jobs_active(void) { return active; }
 int jobs_share(const struct job *j) { return j->spec.team < 0 ? 0 : j->spec.team % cfg->size; }
 
@@ -226,12 +225,14 @@
         jobs_bits_read(bits, j->pend, 0, j->spec.tasks);
         count_bits(j);
     }
-    enum job_state now = state && !strcmp(state, "done") ? JOB_DONE : state && !strcmp(state, "cancelled") ? JOB_CANCELLED : JOB_QUEUED;
+    enum job_state now = state && !strcmp(state, "done")        ? JOB_DONE
+                         : state && !strcmp(state, "cancelled") ? JOB_CANCELLED
+                                                                : JOB_QUEUED;
     if (j->state == JOB_QUEUED && now != JOB_QUEUED) {
         j->state = now;
         if (membership_mine(jobs_share(j)))
-            log_info("job %s (%s, %d tasks, estimate %.0f s) is %s %.1f s after it came", j->spec.uid, j->spec.jobclass, j->spec.tasks,
-                     j->spec.runtime_s, state, time_of_day() - j->submitted);
+            log_info("job %s (%s, %d tasks, estimate %.0f s) is %s %.1f s after it came", j->spec.uid, j->spec.jobclass,
+                     j->spec.tasks, j->spec.runtime_s, state, base_time_of_day() - j->submitted);
         g_ptr_array_remove(active, j);
         if (now == JOB_DONE) j->n_done = j->spec.tasks;
         /* A final state is all that is asked for from now on. */
@@ -261,7 +262,8 @@
 void jobs_mark_done(struct job *j, int task) {
     if (!j->pend || task >= j->spec.tasks) return;
     /* A gang completes together: one task's word is enough for all. */
-    for (int i = j->spec.shape == JOB_GROUP ? 0 : task; i < (j->spec.shape == JOB_GROUP ? j->spec.tasks : task + 1); i++)
+    for (int i = j->spec.shape == JOB_GROUP ? 0 : task; i < (j->spec.shape == JOB_GROUP ? j->spec.tasks : task + 1);
+         i++)
         if (!jobs_bit(j->pend, i)) {
             j->pend[i / 8] |= (uint8_t)(1 << (i % 8));
             j->n_pend++;
@@ -269,7 +271,8 @@
 }
 
 bool jobs_dirty(const struct job *j) {
-    return j->state == JOB_QUEUED && j->pend && (j->n_pend > j->n_done || (j->n_done == j->spec.tasks && j->spec.shape != JOB_STANDING));
+    return j->state == JOB_QUEUED && j->pend &&
+           (j->n_pend > j->n_done || (j->n_done == j->spec.tasks && j->spec.shape != JOB_STANDING));
 }
 
 static cJSON *job_value(const char *spec_text, const char *state, const char *bits, double at) {
@@ -303,7 +306,8 @@
     store_txn_if(t, key, store_stamp(key));
     if ((small || (complete && !chunks_left)) && t->writes < most) {
         char *bits = small ? jobs_bits_text(j->pend, 0, j->spec.tasks) : NULL;
-        store_txn_set(t, key, job_value(j->spec_text, complete ? "done" : "queued", complete ? NULL : bits, j->submitted), 0);
+        store_txn_set(t, key,
+                      job_value(j->spec_text, complete ? "done" : "queued", complete ? NULL : bits, j->submitted), 0);
         g_free(bits);
     }
 }
@@ -330,7 +334,37 @@
 static struct lane lanes[2];
 #define ASKS_MOST 400
 
+static pthread_mutex_t latency_lock = PTHREAD_MUTEX_INITIALIZER;
+static gsl_histogram *latency; /* of log10 of milliseconds, from 0.1 ms to 100 s */
+
+static void note_latency(struct timespec came) {
+    double ms = MAX(base_since(came) * 1000, 0.11);
+    pthread_mutex_lock(&latency_lock);
+    gsl_histogram_increment(latency, MIN(log10(ms), 4.99));
+    pthread_mutex_unlock(&latency_lock);
+}
+
+static double quantile(double q) {
+    double want = q * gsl_histogram_sum(latency), seen = 0, lo, hi;
+    for (size_t i = 0; i < gsl_histogram_bins(latency); i++) {
+        seen += gsl_histogram_get(latency, i);
+        gsl_histogram_get_range(latency, i, &lo, &hi);
+        if (seen >= want) return pow(10, hi);
+    }
+    return 0;
+}
+
+void jobs_latency(int *answers, double *median_ms, double *p95_ms) {
+    pthread_mutex_lock(&latency_lock);
+    *answers = (int)gsl_histogram_sum(latency);
+    *median_ms = *answers ? quantile(0.5) : 0;
+    *p95_ms = *answers ? quantile(0.95) : 0;
+    gsl_histogram_reset(latency);
+    pthread_mutex_unlock(&latency_lock);
+}
+
 static void ask_free(struct ask *a) {
+    note_latency(a->came);
     g_free(a->spec_text);
     g_free(a);
 }
@@ -351,7 +385,8 @@
 
 static void reply_job(struct http_req *r, unsigned status, const char *uid, const char *state, int done, int running) {
     char body[200];
-    snprintf(body, sizeof body, "{\"uid\":\"%s\",\"state\":\"%s\",\"done\":%d,\"running\":%d}", uid, state, done, running);
+    snprintf(body, sizeof body, "{\"uid\":\"%s\",\"state\":\"%s\",\"done\":%d,\"running\":%d}", uid, state, done,
+             running);
     http_reply(r, status, body, 0);
 }
 
@@ -409,7 +444,8 @@
     bool terminal = j && j->known && j->state != JOB_QUEUED, known = j && j->known;
     bool away = store_away(), ready = !away && (known || cloud_flavours_known());
     if (terminal) answer_known(a, j);
-    if (!known && ready) a->infeasible = jobs_feasible(&spec, cfg, cloud_flavours(), cloud_flavours_count(), why, sizeof why);
+    if (!known && ready)
+        a->infeasible = jobs_feasible(&spec, cfg, cloud_flavours(), cloud_flavours_count(), why, sizeof why);
     store_unlock();
     g_strlcpy(a->why, why, sizeof a->why);
     jobs_spec_clear(&spec);
@@ -518,7 +554,8 @@
                     if (strcmp(ans.failed->pdata[f], key) == 0) {
                         const cJSON *x;
                         int64_t was = -1;
-                        cJSON_ArrayForEach(x, t.conds) if (!strcmp(base_str(x, "path"), key)) base_int(x, "stamp", &was);
+                        cJSON_ArrayForEach(x, t.conds) if (!strcmp(base_str(x, "path"), key))
+                            base_int(x, "stamp", &was);
                         moved = store_stamp(key) == was;
                     }
                 if (moved)
@@ -549,7 +586,7 @@
         store_txn_if(t, key, store_stamp(key));
         if (twice) continue;
         if (a->kind == ASK_SUBMIT && !(j && j->known) && !a->infeasible) {
-            store_txn_set(t, key, job_value(a->spec_text, "queued", NULL, time_of_day()), 0);
+            store_txn_set(t, key, job_value(a->spec_text, "queued", NULL, base_time_of_day()), 0);
         } else if (a->kind == ASK_CANCEL && j && j->known && j->state == JOB_QUEUED) {
             store_txn_set(t, key, job_value(j->spec_text, "cancelled", NULL, j->submitted), 0);
         }
@@ -621,7 +658,8 @@
             if (rc == STORE_OK) {
                 const cJSON *x;
                 store_lock();
-                cJSON_ArrayForEach(x, t.ops) store_apply(base_str(x, "set"), cJSON_GetObjectItemCaseSensitive(x, "data"), ans.epoch);
+                cJSON_ArrayForEach(x, t.ops)
+                    store_apply(base_str(x, "set"), cJSON_GetObjectItemCaseSensitive(x, "data"), ans.epoch);
                 store_unlock();
                 if (t.writes) peers_hint();
             } else if (rc == STORE_CONFLICT) {
@@ -650,6 +688,8 @@
 }
 
 void jobs_start(void) {
+    latency = gsl_histogram_alloc(60);
+    gsl_histogram_set_ranges_uniform(latency, -1, 5);
     for (int i = 0; i < 2; i++) {
         pthread_mutex_init(&lanes[i].lock, NULL);
         base_cond_init(&lanes[i].cond);
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -52,7 +52,8 @@
     int n_sites;
 };
 int jobs_parse(const char *body, size_t len, const struct settings *s, struct job_spec *out, char *field, size_t n);
-int jobs_feasible(const struct job_spec *j, const struct settings *s, const struct flavour_info *f, int nf, char *why, size_t n);
+int jobs_feasible(const struct job_spec *j, const struct settings *s, const struct flavour_info *f, int nf, char *why,
+                  size_t n);
 void jobs_spec_clear(struct job_spec *j);
 bool jobs_uid_ok(const char *uid);
 char *jobs_bits_text(const uint8_t *bits, int from, int n);
@@ -66,10 +67,13 @@
 GPtrArray *jobs_active(void); /* struct job, not terminal, oldest first */
 int jobs_share(const struct job *j);
 bool jobs_bit(const uint8_t *bits, int i);
-void jobs_mark_done(struct job *j, int task); /* reported, to be recorded in the next round */
+void jobs_mark_done(struct job *j, int task);                     /* reported, to be recorded in the next round */
 void jobs_adds(struct job *j, struct store_txn *t, int most_ops); /* writes what is pending into t */
 bool jobs_dirty(const struct job *j);
 bool jobs_running(const struct job *j, int *running);
 
+/* How long the answers took since the last call, in milliseconds; 0 answers: all 0. */
+void jobs_latency(int *answers, double *median_ms, double *p95_ms);
+
 bool jobs_route(struct http_req *r); /* true if the path is ours */
 #endif
--- a/src/main.c
+++ b/src/main.c
@@ -24,8 +24,10 @@
     };
     GError *e = NULL;
     GOptionContext *o = g_option_context_new("- a cluster scheduler");
-    g_option_context_set_description(o, "Operators' own settings (HCL) are read from the file that FIELDFIELD_TUNING names.\n"
-                                        "LOG_LEVEL is error, info or debug.");
+    g_option_context_set_description(
+        o,
+        "Operators' own settings (HCL) are read from the file that FIELDFIELD_TUNING names.\n"
+        "LOG_LEVEL is error, info or debug.");
     g_option_context_add_main_entries(o, entries, NULL);
     if (!g_option_context_parse(o, &argc, &argv, &e)) {
         fprintf(stderr, "fieldfield: %s\n", e->message);
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -39,7 +39,6 @@
 const struct share *membership_share(int k) { return &shares[k]; }
 int64_t membership_fence(void) { return fence_value; }
 const char *membership_inc(void) { return my_inc; }
-const char *membership_lowest(void) { return leader[0] ? leader : NULL; }
 
 bool membership_mine(int k) {
     return store_ready() && shares[k].stamp && strcmp(shares[k].owner, cfg->node) == 0 &&
@@ -50,7 +49,8 @@
     /* A cancellation told elsewhere after our last look must be kept within cancel_s, and an answered report keeps
      * tasks alive for lease_s more, counted from when it was sent. The margin, a tenth and a bit, covers the clocks'
      * drift; it scales, since a deployment may leave little between the two. */
-    double room = base_secs(cfg->cancel) - base_secs(cfg->lease), most = room * 0.9 - 0.2 - 0.001 * base_secs(cfg->cancel);
+    double room = base_secs(cfg->cancel) - base_secs(cfg->lease),
+           most = room * 0.9 - 0.2 - 0.001 * base_secs(cfg->cancel);
     return store_ready() && base_since(store_verified()) < most;
 }
 
@@ -177,8 +177,7 @@
 static bool next_step(struct store_txn *t) {
     struct node *me = find_node(cfg->node);
     if (!store_ready() || !me || !me->live || strcmp(me->inc, my_inc) != 0) return false;
-    for (int k = 0; k < cfg->size; k++)
-        /* Ours from before a restart: no need to wait for anyone. */
+    for (int k = 0; k < cfg->size; k++) /* Ours from before a restart: no need to wait for anyone. */
         if (strcmp(shares[k].owner, cfg->node) == 0 && strcmp(shares[k].inc, my_inc) != 0) {
             give(t, k, me);
             return true;
@@ -301,7 +300,8 @@
             if (r == STORE_OK) {
                 const cJSON *x;
                 store_lock();
-                cJSON_ArrayForEach(x, t.ops) store_apply(base_str(x, "set"), cJSON_GetObjectItemCaseSensitive(x, "data"), a.epoch);
+                cJSON_ArrayForEach(x, t.ops)
+                    store_apply(base_str(x, "set"), cJSON_GetObjectItemCaseSensitive(x, "data"), a.epoch);
                 store_unlock();
             } else if (r == STORE_CONFLICT) {
                 for (guint i = 0; i < a.failed->len; i++) store_refresh(c, a.failed->pdata[i]);
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -14,12 +14,11 @@
 
 /* All of these with store_lock held. */
 const struct share *membership_share(int k);
-bool membership_mine(int k);     /* share K is ours, and the mirror holds all that its former owner wrote */
-bool membership_verified(void);  /* recent enough to answer workers: a cancellation told elsewhere can still be kept */
-int membership_live(void);       /* live controllers */
-int64_t membership_fence(void);  /* the counter as mirrored */
+bool membership_mine(int k);    /* share K is ours, and the mirror holds all that its former owner wrote */
+bool membership_verified(void); /* recent enough to answer workers: a cancellation told elsewhere can still be kept */
+int membership_live(void);      /* live controllers */
+int64_t membership_fence(void); /* the counter as mirrored */
 const char *membership_inc(void);
-const char *membership_lowest(void); /* name of the leader, or NULL */
 
 /* A controller that no longer hears the workers says so in its record; its shares go to those who may hear them. */
 void membership_set_deaf(bool deaf);
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -43,8 +43,8 @@
     return n == 0 ? 0 : reception + (n - 1) * admission - occupied;
 }
 
-struct machine *placement_pick(GPtrArray *machines, const struct job *j, const char *zone, const struct placement_rules *r,
-                               GArray *plans) {
+struct machine *placement_pick(GPtrArray *machines, const struct job *j, const char *zone,
+                               const struct placement_rules *r, GArray *plans) {
     struct machine *best = NULL;
     double best_score = 0;
     const char *together = NULL;
@@ -61,7 +61,9 @@
         if (!placement_fits(m, &j->spec) || !placement_allowed(m, j, together, plans)) continue;
         bool reception = m == r->reception_machine;
         /* Reception first under its threshold, then the least occupied under the admission threshold. */
-        double score = reception && m->occupancy < r->reception ? 3 : m->occupancy < r->admission ? 2 - m->occupancy : 0.5 - m->occupancy / 4;
+        double score = reception && m->occupancy < r->reception ? 3
+                       : m->occupancy < r->admission            ? 2 - m->occupancy
+                                                                : 0.5 - m->occupancy / 4;
         if (!reception && m->occupancy >= r->admission) score = 0.2;
         /* An empty machine is opened last: headroom in scattered pieces starves gangs and can't be given back. */
         if (m->used_gpu <= 0 && m->used_cpu <= 0) score -= 5;
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -14,8 +14,8 @@
 /* Kind, type and zone, given where the job's other tasks are (planned ones included). */
 bool placement_allowed(const struct machine *m, const struct job *j, const char *together_site, GArray *plans);
 /* The best machine for one task of the job, or NULL. zone: only there, or NULL. */
-struct machine *placement_pick(GPtrArray *machines, const struct job *j, const char *zone, const struct placement_rules *r,
-                               GArray *plans);
+struct machine *placement_pick(GPtrArray *machines, const struct job *j, const char *zone,
+                               const struct placement_rules *r, GArray *plans);
 /* Occupancy: per component the mean over the window, then the largest; an empty window reads 0. */
 double placement_occupancy(const struct machine *m, int window);
 /* The ledger: headroom H = C - O. */
--- a/src/pool/pool.c
+++ b/src/pool/pool.c
@@ -25,33 +25,22 @@
 /* What the owner remembers of a share. */
 struct share_state {
     int64_t fence;
-    int64_t next;      /* counter of attempts under this fence */
-    bool barrier;      /* a transaction's outcome is unknown: nothing more before the share's stamp has moved */
+    int64_t next; /* counter of attempts under this fence */
+    bool barrier; /* a transaction's outcome is unknown: nothing more before the share's stamp has moved */
     struct timespec since, ledger_at;
     bool fit_nowhere;
 };
 static struct share_state states[64];
 
-static pthread_mutex_t kick_lock = PTHREAD_MUTEX_INITIALIZER;
-static pthread_cond_t kick_cond;
-static bool kicked;
+static struct base_bell bell;
 
-void pool_kick(void) {
-    pthread_mutex_lock(&kick_lock);
-    kicked = true;
-    pthread_cond_signal(&kick_cond);
-    pthread_mutex_unlock(&kick_lock);
-}
-
-static double time_of_day(void) {
-    struct timespec t;
-    clock_gettime(CLOCK_REALTIME, &t);
-    return base_secs(t);
-}
+void pool_kick(void) { base_bell_ring(&bell); }
 
 /* ---- records ---- */
 
-struct machine *pool_find(const char *id) { return g_hash_table_lookup(by_id, id); }
+struct machine *pool_find(const char *id) {
+    return g_hash_table_lookup(by_id, id);
+}
 GPtrArray *pool_machines(void) { return machines; }
 bool pool_booking_active(const struct booking *b) { return !b->over; }
 
@@ -134,8 +123,8 @@
     m->returning = base_flag(data, "ret");
     m->born = base_num(data, "born", 0);
     const cJSON *list = cJSON_GetObjectItemCaseSensitive(data, "b"), *x;
-    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(data, "img"))
-        if (cJSON_IsString(x)) g_hash_table_add(m->images, g_strdup(x->valuestring));
+    cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(data, "img")) if (cJSON_IsString(x))
+        g_hash_table_add(m->images, g_strdup(x->valuestring));
     GPtrArray *keep = g_ptr_array_new();
     cJSON_ArrayForEach(x, list) {
         const cJSON *u = cJSON_GetArrayItem(x, 0), *t = cJSON_GetArrayItem(x, 1), *a = cJSON_GetArrayItem(x, 2);
@@ -265,7 +254,8 @@
         int n = 0;
         cJSON *list = cJSON_AddArrayToObject(o, "img");
         g_hash_table_iter_init(&it, m->images);
-        while (g_hash_table_iter_next(&it, &name, NULL) && (n += (int)strlen(name) + 3) < cfg->value_kb * 1024 / 6) cJSON_AddItemToArray(list, cJSON_CreateString(name));
+        while (g_hash_table_iter_next(&it, &name, NULL) && (n += (int)strlen(name) + 3) < cfg->value_kb * 1024 / 6)
+            cJSON_AddItemToArray(list, cJSON_CreateString(name));
     }
     return o;
 }
@@ -304,7 +294,8 @@
     struct machine *best = NULL;
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (m->share != k || m->spot || m->returning || m->want_return || m->dead || !m->up || m->warning >= 0) continue;
+        if (m->share != k || m->spot || m->returning || m->want_return || m->dead || !m->up || m->warning >= 0)
+            continue;
         if (!best || m->born < best->born || (m->born == best->born && strcmp(m->id, best->id) < 0)) best = m;
     }
     return best;
@@ -329,9 +320,9 @@
             m->used_mem += x->job->spec.memory_gb;
         }
         double quiet = base_secs(cfg->report) * 2 + 1;
-        m->open = m->up && m->flavour && !m->returning && !m->want_return && !m->dead && !m->draining && m->pass_to < 0 &&
-                  m->warning < 0 && !m->need_raise && !m->unknown && m->seen_fence >= pool_token(m) && base_since(m->reported) < quiet &&
-                  m->bookings->len < (guint)(cfg->value_kb * 1024 / 64) - 6;
+        m->open = m->up && m->flavour && !m->returning && !m->want_return && !m->dead && !m->draining &&
+                  m->pass_to < 0 && m->warning < 0 && !m->need_raise && !m->unknown && m->seen_fence >= pool_token(m) &&
+                  base_since(m->reported) < quiet && m->bookings->len < (guint)(cfg->value_kb * 1024 / 64) - 6;
     }
 }
 
@@ -350,7 +341,8 @@
         double next = -1;
         for (int i = 0; i < cfg->n_objectives; i++) {
             const struct settings_objective *o = &cfg->objectives[i];
-            if (o->kind == AIM_FINISHED && strcmp(o->jobclass, j->spec.jobclass) == 0 && o->within_s > after && (next < 0 || o->within_s < next))
+            if (o->kind == AIM_FINISHED && strcmp(o->jobclass, j->spec.jobclass) == 0 && o->within_s > after &&
+                (next < 0 || o->within_s < next))
                 next = o->within_s;
         }
         if (next < 0) break;
@@ -377,7 +369,7 @@
 static GArray *rank_jobs(int k) {
     GArray *out = g_array_new(FALSE, FALSE, sizeof(struct ranked));
     double cpu[SETTINGS_TEAMS] = {0}, gpu[SETTINGS_TEAMS] = {0};
-    double now = time_of_day();
+    double now = base_time_of_day();
     GPtrArray *jobs = jobs_active();
     for (guint i = 0; i < jobs->len; i++) {
         struct job *j = jobs->pdata[i];
@@ -386,8 +378,9 @@
         int left = j->spec.tasks - j->n_pend;
         cpu[j->spec.team] += left * j->spec.vcpus;
         gpu[j->spec.team] += left * j->spec.gpus;
-        struct ranked r = {j, has_guarantee(t) && (t->cpus <= 0 || cpu[j->spec.team] <= t->cpus + 1e-6) &&
-                                  (t->gpus <= 0 || gpu[j->spec.team] <= t->gpus + 1e-6),
+        struct ranked r = {j,
+                           has_guarantee(t) && (t->cpus <= 0 || cpu[j->spec.team] <= t->cpus + 1e-6) &&
+                               (t->gpus <= 0 || gpu[j->spec.team] <= t->gpus + 1e-6),
                            due_of(j, now)};
         g_array_append_val(out, r);
     }
@@ -437,7 +430,8 @@
 }
 
 /* A gang: all of it or nothing, in one zone if it asks for that. */
-static bool plan_gang(struct round *r, struct job *j, GPtrArray *mine, const struct placement_rules *rules, struct usage *u) {
+static bool plan_gang(struct round *r, struct job *j, GPtrArray *mine, const struct placement_rules *rules,
+                      struct usage *u) {
     if (!quota_left(&u[j->spec.team], &j->spec, j->spec.tasks)) return true;
     for (int z = 0; z < (j->spec.together ? cfg->n_zones : 1); z++) {
         const char *zone = j->spec.together ? cfg->zones[z] : NULL;
@@ -488,7 +482,8 @@
 
 /* A task stopped soon after its start counts as never started to its user. */
 static bool fresh_start(const struct booking *b) {
-    return b->state == TASK_UNSEEN || b->state == TASK_FETCHING || (b->state == TASK_RUNNING && base_since(b->changed) < 32);
+    return b->state == TASK_UNSEEN || b->state == TASK_FETCHING ||
+           (b->state == TASK_RUNNING && base_since(b->changed) < 32);
 }
 
 /* Stops lower-ranked tasks on one machine so that a task of the job fits there; the machine that already has the
@@ -501,7 +496,8 @@
     if (!quota_left(&u[j->spec.team], &j->spec, 1)) return false;
     for (guint i = 0; i < mine->len; i++) {
         struct machine *m = mine->pdata[i];
-        const char *together = j->spec.together && j->bookings->len ? ((struct booking *)j->bookings->pdata[0])->m->site : NULL;
+        const char *together =
+            j->spec.together && j->bookings->len ? ((struct booking *)j->bookings->pdata[0])->m->site : NULL;
         if (!m->open || !(f = m->flavour) || !placement_allowed(m, j, together, NULL)) continue;
         double cpu = m->used_cpu, gpu = m->used_gpu, mem = m->used_mem, cost = 0;
         for (guint b = 0; b < m->bookings->len; b++) {
@@ -512,7 +508,8 @@
             mem -= x->job->spec.memory_gb;
             cost += fresh_start(x) ? 3 : 1;
         }
-        if (cpu + j->spec.vcpus > f->vcpus + 1e-6 || gpu + j->spec.gpus > f->gpus + 1e-6 || mem + j->spec.memory_gb > f->memory_gb + 1e-6)
+        if (cpu + j->spec.vcpus > f->vcpus + 1e-6 || gpu + j->spec.gpus > f->gpus + 1e-6 ||
+            mem + j->spec.memory_gb > f->memory_gb + 1e-6)
             continue;
         if (!g_hash_table_contains(m->images, j->spec.image)) cost += 100;
         if (!best || cost < best_cost) {
@@ -603,7 +600,8 @@
                 if (jobs_bit(j->pend, t) || booked_task(j, t) || planned_task(r->plans, j, t)) continue;
                 if (!quota_left(&u[j->spec.team], &j->spec, 1)) break;
                 struct machine *m = placement_pick(mine, j, NULL, &rules, r->plans);
-                if ((!m || fetch_too_slow(j, m)) && (within || j->spec.rank > RANK_IDLE) && base_since(j->preempted) > 3) {
+                if ((!m || fetch_too_slow(j, m)) && (within || j->spec.rank > RANK_IDLE) &&
+                    base_since(j->preempted) > 3) {
                     bool any = false;
                     for (int w = 0; w < left; w++) any |= preempt_for(j, within, mine, u);
                     if (any) {
@@ -666,7 +664,7 @@
         memset(&m, 0, sizeof m);
         m.share = k;
         m.spot = c->spot;
-        m.born = time_of_day();
+        m.born = base_time_of_day();
         g_strlcpy(m.address, c->address, sizeof m.address);
         g_strlcpy(m.sku, c->sku, sizeof m.sku);
         g_strlcpy(m.site, c->site, sizeof m.site);
@@ -734,7 +732,8 @@
 /* A spread job's part in the zone is used up. */
 static bool zone_full(const struct job *j, const char *site) {
     int here = 0;
-    for (guint i = 0; i < j->bookings->len; i++) here += strcmp(((struct booking *)j->bookings->pdata[i])->m->site, site) == 0;
+    for (guint i = 0; i < j->bookings->len; i++)
+        here += strcmp(((struct booking *)j->bookings->pdata[i])->m->site, site) == 0;
     return j->spec.spread && here >= (j->spec.tasks + 1) / 2;
 }
 
@@ -763,8 +762,10 @@
         if (j->spec.reclaimable != reclaimable || base_since(j->seen) < 0.4) continue;
         const struct settings_team *t = &cfg->teams[j->spec.team];
         int left = j->spec.tasks - j->n_done - (int)j->bookings->len, tasks = j->spec.shape == JOB_BATCH ? 1 : left;
-        if (left <= 0 || (t->gpus_max > 0 && beyond(j->spec.team) + t->gpus + tasks * j->spec.gpus > t->gpus_max)) continue;
-        const char *site = j->spec.together && j->bookings->len ? ((struct booking *)j->bookings->pdata[0])->m->site : NULL;
+        if (left <= 0 || (t->gpus_max > 0 && beyond(j->spec.team) + t->gpus + tasks * j->spec.gpus > t->gpus_max))
+            continue;
+        const char *site =
+            j->spec.together && j->bookings->len ? ((struct booking *)j->bookings->pdata[0])->m->site : NULL;
         for (int n = 0; n < left && !found; n++) {
             bool taken = false;
             for (guint y = 0; y < vms->len && !taken; y++) {
@@ -796,7 +797,9 @@
     }
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (m->share != k || m == reception || base_since(m->mine_since) < 5 || m->pass_to >= 0 || !m->up || !pool_mine(m) || !m->flavour) continue;
+        if (m->share != k || m == reception || base_since(m->mine_since) < 5 || m->pass_to >= 0 || !m->up ||
+            !pool_mine(m) || !m->flavour)
+            continue;
         if (m->returning || m->want_return || m->dead || m->warning >= 0 || !m->address[0]) continue;
         if (base_since(m->heard) > base_secs(cfg->report) * 2 + 1 || !may_use(&j->spec, m->flavour)) continue;
         if (!placement_allowed(m, j, site, NULL)) continue;
@@ -874,7 +877,8 @@
             fence = membership_fence() + 1;
             raised = true;
         }
-        if (m->touched || raise || (m->want_return && !m->returning)) write_machine(r, m, pass ? m->pass_to : k, fence, raise ? 1 : 0);
+        if (m->touched || raise || (m->want_return && !m->returning))
+            write_machine(r, m, pass ? m->pass_to : k, fence, raise ? 1 : 0);
     }
 }
 
@@ -933,7 +937,8 @@
 }
 
 static bool run_round(struct http_client *c, int k) {
-    struct round r = {k, g_array_new(FALSE, FALSE, sizeof(struct placement_plan)), g_ptr_array_new_with_free_func(txn_free), false};
+    struct round r = {k, g_array_new(FALSE, FALSE, sizeof(struct placement_plan)),
+                      g_ptr_array_new_with_free_func(txn_free), false};
     bool again = false;
     store_lock();
     bool mine = membership_mine(k);
@@ -1013,7 +1018,8 @@
     *up = *heard = *reported = 0;
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (!membership_mine(m->share) || !pool_mine(m) || !m->up || m->returning || m->want_return || m->dead) continue;
+        if (!membership_mine(m->share) || !pool_mine(m) || !m->up || m->returning || m->want_return || m->dead)
+            continue;
         (*up)++;
         *heard += base_since(m->heard) < lately;
         *reported += base_since(m->reported) < lately;
@@ -1036,7 +1042,7 @@
             log_info("machine %s: silent for %.0f s, returning it", m->id, base_since(m->heard));
             m->want_return = true;
         }
-        if (!m->up && time_of_day() - m->born > boot_limit(m) && base_since(m->mine_since) > 20) {
+        if (!m->up && base_time_of_day() - m->born > boot_limit(m) && base_since(m->mine_since) > 20) {
             log_info("machine %s: never came up, returning it", m->id);
             m->want_return = true;
         }
@@ -1108,7 +1114,8 @@
     bool draining = false, rows = true;
     for (guint i = 0; i < machines->len; i++) {
         struct machine *m = machines->pdata[i];
-        if (m->share != k || m->spot != spot || !pool_mine(m) || !m->up || m->returning || m->want_return || m->dead) continue;
+        if (m->share != k || m->spot != spot || !pool_mine(m) || !m->up || m->returning || m->want_return || m->dead)
+            continue;
         double occ = placement_occupancy(m, (int)cfg->tuning.window);
         occupied += occ;
         draining |= m->draining;
@@ -1116,18 +1123,21 @@
         n++;
         if (m->rows < (int)cfg->tuning.window) rows = false;
         /* One rented for waiting tasks stays until it has had its first. */
-        if (m == reception || m->warning >= 0 || (!m->had_task && time_of_day() - m->born < boot_limit(m))) continue;
+        if (m == reception || m->warning >= 0 || (!m->had_task && base_time_of_day() - m->born < boot_limit(m)))
+            continue;
         if (!least || occ < least_occ) {
             least = m;
             least_occ = occ;
         }
     }
-    double h = placement_headroom(n, occupied, spot ? cfg->tuning.admission : cfg->tuning.reception, cfg->tuning.admission);
+    double h =
+        placement_headroom(n, occupied, spot ? cfg->tuning.admission : cfg->tuning.reception, cfg->tuning.admission);
     if (!rows || draining || !least || states[k].fit_nowhere || h <= cfg->tuning.margin * cfg->tuning.admission) return;
     least->draining = true;
     least->drain_since = base_now();
     if (!spot) move_off(least);
-    log_info("machine %s: draining (share %d, %s, N %d, O %.2f, H %.2f)", least->id, k, spot ? "spot" : "ordinary", n, occupied, h);
+    log_info("machine %s: draining (share %d, %s, N %d, O %.2f, H %.2f)", least->id, k, spot ? "spot" : "ordinary", n,
+             occupied, h);
 }
 
 /* The periodic line of a share: what waits, what there is, what is left. */
@@ -1153,10 +1163,13 @@
         struct job *j = jobs->pdata[i];
         if (jobs_share(j) == k) waiting[j->spec.rank] += MAX(0, j->spec.tasks - j->n_pend - (int)j->bookings->len);
     }
-    log_info("share %d: waiting %d/%d/%d/%d tasks (production to idle), up %d ordinary %d spot, booting %d+%d, draining %d, "
-             "gpus booked %.0f of %.0f ordinary (%.0f by work that makes way), %.0f of %.0f spot, occupancy %.2f, headroom %.2f",
-             k, waiting[3], waiting[2], waiting[1], waiting[0], up[0], up[1], booting[0], booting[1], draining, used[0], gpus[0], filler, used[1], gpus[1], occupied,
-             placement_headroom(up[0] + up[1] - draining, occupied, cfg->tuning.reception, cfg->tuning.admission));
+    log_info(
+        "share %d: waiting %d/%d/%d/%d tasks (production to idle), up %d ordinary %d spot, booting %d+%d, draining %d, "
+        "gpus booked %.0f of %.0f ordinary (%.0f by work that makes way), %.0f of %.0f spot, occupancy %.2f, headroom "
+        "%.2f",
+        k, waiting[3], waiting[2], waiting[1], waiting[0], up[0], up[1], booting[0], booting[1], draining, used[0],
+        gpus[0], filler, used[1], gpus[1], occupied,
+        placement_headroom(up[0] + up[1] - draining, occupied, cfg->tuning.reception, cfg->tuning.admission));
 }
 
 static void *pool_main(void *arg) {
@@ -1164,10 +1177,7 @@
     struct http_client *c = http_client_new();
     struct timespec watched = {0, 0}, told = {0, 0}, hearing = base_now();
     for (;;) {
-        pthread_mutex_lock(&kick_lock);
-        if (!kicked) base_cond_wait(&kick_cond, &kick_lock, base_span(0.5));
-        kicked = false;
-        pthread_mutex_unlock(&kick_lock);
+        base_bell_await(&bell, base_span(0.5));
         bool again = false;
         for (int k = 0; k < cfg->size; k++) again |= run_round(c, k);
         if (base_since(watched) > 0.5) {
@@ -1310,7 +1320,8 @@
             if (!dear) {
                 backlog += MAX(j->spec.runtime_s, 1) * j->spec.gpus;
                 dear = g_array_index(order, struct ranked, i).within ||
-                       (slots > 0 && backlog / slots > cfg->tuning.dear_backlog * settings_within(cfg, AIM_FINISHED, j->spec.jobclass, 120));
+                       (slots > 0 && backlog / slots > cfg->tuning.dear_backlog *
+                                                           settings_within(cfg, AIM_FINISHED, j->spec.jobclass, 120));
             }
             bool taken = false;
             for (guint y = 0; y < vms->len && !taken; y++) {
@@ -1340,13 +1351,16 @@
         }
         struct rent_order o;
         memset(&o, 0, sizeof o);
-        if (like && (!lone || occ > cfg->tuning.reception) && choose(like, NULL, true, &o)) vm_add(vms, o.sku, o.site, o.spot);
+        if (like && (!lone || occ > cfg->tuning.reception) && choose(like, NULL, true, &o))
+            vm_add(vms, o.sku, o.site, o.spot);
     }
     for (guint y = first_new; y < vms->len; y++) {
         struct rent_order *o = &g_array_index(vms, struct virtual_machine, y).o;
         int i;
         for (i = 0; i < *n; i++)
-            if (out[i].share == k && out[i].spot == o->spot && !strcmp(out[i].sku, o->sku) && !strcmp(out[i].site, o->site)) break;
+            if (out[i].share == k && out[i].spot == o->spot && !strcmp(out[i].sku, o->sku) &&
+                !strcmp(out[i].site, o->site))
+                break;
         if (i == *n && *n < most) {
             out[i] = *o;
             out[i].share = k;
@@ -1362,7 +1376,8 @@
 int pool_rent_plan(struct rent_order *out, int most) {
     int n = 0;
     for (int k = 0; k < cfg->size; k++)
-        if (membership_mine(k) && membership_verified() && base_since(states[k].since) > 4) rent_for_share(k, out, most, &n);
+        if (membership_mine(k) && membership_verified() && base_since(states[k].since) > 4)
+            rent_for_share(k, out, most, &n);
     return n;
 }
 
@@ -1389,7 +1404,7 @@
     gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     newcomers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     machines = g_ptr_array_new();
-    base_cond_init(&kick_cond);
+    base_bell_init(&bell);
     store_observe("machine/", apply_machine);
 }
 
--- a/src/pool/pool.h
+++ b/src/pool/pool.h
@@ -44,7 +44,7 @@
     bool up;
     int64_t tenure, seq, seen_fence;
     struct timespec heard, reported, mine_since, probed; /* heard: by a report or a direct answer */
-    double warning; /* < 0: none */
+    double warning;                                      /* < 0: none */
     struct timespec warned;
     bool unknown; /* a direct command's outcome is not known */
     int64_t unknown_fence, unknown_tenure;
--- a/src/service.c
+++ b/src/service.c
@@ -56,9 +56,15 @@
 void service_tell(void) {
     static unsigned last = 0;
     unsigned now = store_budget_used();
+    int answers;
+    double median, p95;
+    jobs_latency(&answers, &median, &p95);
     store_lock();
-    log_info("status: %u unfinished jobs, %u machines, store %.1f calls/s, store seen %.1f s ago", jobs_active()->len,
-             pool_machines()->len, (now - last) / 10.0, base_since(store_verified()));
+    log_info(
+        "status: %u unfinished jobs, %u machines, store %.1f calls/s, store seen %.1f s ago, %d answers to users "
+        "(median %.1f ms, p95 %.1f ms)",
+        jobs_active()->len, pool_machines()->len, (now - last) / 10.0, base_since(store_verified()), answers, median,
+        p95);
     store_unlock();
     last = now;
 }
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -26,7 +26,8 @@
     budget_calls = MIN(budget_calls + dt * rate_c, rate_c);
     budget_writes = MIN(budget_writes + dt * rate_w, rate_w);
     double keep = budget_reserve[cls];
-    bool ok = budget_calls - 1 >= keep * rate_c && (writes == 0 || budget_writes >= keep * rate_w + MIN(writes, rate_w * 0.5));
+    bool ok = budget_calls - 1 >= keep * rate_c &&
+              (writes == 0 || budget_writes >= keep * rate_w + MIN(writes, rate_w * 0.5));
     if (cls != STORE_RENEW && base_secs(now) < base_secs(budget_block)) ok = false;
     if (ok) {
         budget_calls -= 1;
@@ -114,7 +115,8 @@
     return STORE_OK;
 }
 
-enum store_result store_multi(struct http_client *c, enum store_class cls, struct store_txn *t, struct store_answer *a) {
+enum store_result store_multi(struct http_client *c, enum store_class cls, struct store_txn *t,
+                              struct store_answer *a) {
     a->epoch = 0;
     a->failed = NULL;
     if (!budget_take(cls, t->writes)) return STORE_REFUSED;
@@ -132,8 +134,8 @@
             r = STORE_CONFLICT;
             a->failed = g_ptr_array_new_with_free_func(g_free);
             const cJSON *x;
-            cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(ans, "failed"))
-                if (cJSON_IsString(x)) g_ptr_array_add(a->failed, g_strdup(x->valuestring));
+            cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(ans, "failed")) if (cJSON_IsString(x))
+                g_ptr_array_add(a->failed, g_strdup(x->valuestring));
         } else {
             r = STORE_UNKNOWN;
         }
@@ -176,22 +178,19 @@
     return r;
 }
 
-static enum store_result lease_call(struct http_client *c, const char *method, const char *fmt, int64_t lease) {
+enum store_result store_renew(struct http_client *c, int64_t lease) {
     char path[64];
     cJSON *ans = NULL;
     long status;
-    snprintf(path, sizeof path, fmt, (long long)lease);
+    snprintf(path, sizeof path, "/grants/%lld/renew", (long long)lease);
     budget_take(STORE_RENEW, 0);
-    enum store_result r = call(c, method, path, strcmp(method, "POST") == 0 ? "{}" : NULL, 1200, &ans, &status);
+    enum store_result r = call(c, "POST", path, "{}", 1200, &ans, &status);
     cJSON_Delete(ans);
     if (r == STORE_OK && status == 404) return STORE_CONFLICT;
     if (r == STORE_OK && status != 200) return STORE_UNKNOWN;
     return r;
 }
 
-enum store_result store_renew(struct http_client *c, int64_t lease) { return lease_call(c, "POST", "/grants/%lld/renew", lease); }
-enum store_result store_drop(struct http_client *c, int64_t lease) { return lease_call(c, "DELETE", "/grants/%lld", lease); }
-
 /* ---- mirror ---- */
 
 struct observer {
@@ -208,15 +207,15 @@
 static int64_t mirror_epoch;
 static bool mirror_ready;
 static struct timespec mirror_verified;
-static pthread_mutex_t nudge_lock = PTHREAD_MUTEX_INITIALIZER;
-static pthread_cond_t nudge_cond;
-static bool nudged;
+static struct base_bell nudge;
 
 void store_lock(void) { pthread_mutex_lock(&mirror_lock); }
 void store_unlock(void) { pthread_mutex_unlock(&mirror_lock); }
 int64_t store_epoch(void) { return mirror_epoch; }
 bool store_ready(void) { return mirror_ready; }
-struct timespec store_verified(void) { return mirror_verified; }
+struct timespec store_verified(void) {
+    return mirror_verified;
+}
 
 void store_observe(const char *prefix, store_applier fn) {
     if (!observers) observers = g_array_new(FALSE, FALSE, sizeof(struct observer));
@@ -281,7 +280,8 @@
         g_free(esc);
         budget_take(STORE_RENEW, 0);
         int64_t epoch = 0;
-        ok = call(c, "GET", path, NULL, 3000, &ans, &status) == STORE_OK && status == 200 && base_int(ans, "epoch", &epoch);
+        ok = call(c, "GET", path, NULL, 3000, &ans, &status) == STORE_OK && status == 200 &&
+             base_int(ans, "epoch", &epoch);
         if (ok) {
             if (first < 0) first = epoch;
             store_lock();
@@ -307,7 +307,8 @@
         g_hash_table_iter_init(&it, stamps);
         while (g_hash_table_iter_next(&it, &k, &v)) {
             struct stamp_row *row = v;
-            if (!row->gone && row->stamp <= first && !g_hash_table_contains(seen, k)) g_ptr_array_add(lost, g_strdup(k));
+            if (!row->gone && row->stamp <= first && !g_hash_table_contains(seen, k))
+                g_ptr_array_add(lost, g_strdup(k));
         }
         for (guint i = 0; i < lost->len; i++) store_apply(lost->pdata[i], NULL, first);
         mirror_epoch = first;
@@ -321,12 +322,7 @@
     return ok;
 }
 
-void store_nudge(void) {
-    pthread_mutex_lock(&nudge_lock);
-    nudged = true;
-    pthread_cond_signal(&nudge_cond);
-    pthread_mutex_unlock(&nudge_lock);
-}
+void store_nudge(void) { base_bell_ring(&nudge); }
 
 static int hold_most(void) {
     /* An idle watch must come back well within the time for which a look at the store stays good. */
@@ -335,7 +331,8 @@
 
 bool store_away(void) {
     /* Just before an idle watch returns, the last one that did was sent two holds ago. */
-    return !mirror_ready || base_since(mirror_verified) > 2 * hold_most() / 1000.0 + base_secs(cfg->tuning.watch_gap) + 0.9;
+    return !mirror_ready ||
+           base_since(mirror_verified) > 2 * hold_most() / 1000.0 + base_secs(cfg->tuning.watch_gap) + 0.9;
 }
 
 static void *mirror_main(void *arg) {
@@ -380,15 +377,12 @@
         }
         cJSON_Delete(ans);
         /* A short gap gathers changes into one answer; someone who waits for one cuts it short. */
-        pthread_mutex_lock(&nudge_lock);
-        if (!nudged) base_cond_wait(&nudge_cond, &nudge_lock, cfg->tuning.watch_gap);
-        nudged = false;
-        pthread_mutex_unlock(&nudge_lock);
+        base_bell_await(&nudge, cfg->tuning.watch_gap);
     }
     return NULL;
 }
 
 void store_mirror_start(void) {
-    base_cond_init(&nudge_cond);
+    base_bell_init(&nudge);
     base_thread(mirror_main, NULL);
 }
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -32,7 +32,6 @@
 enum store_result store_get(struct http_client *c, const char *key, cJSON **data, int64_t *stamp, int64_t *epoch);
 enum store_result store_grant(struct http_client *c, struct timespec ttl, int64_t *lease);
 enum store_result store_renew(struct http_client *c, int64_t lease); /* CONFLICT: the lease has ended */
-enum store_result store_drop(struct http_client *c, int64_t lease);
 
 /* The mirror. Appliers run under store_lock; data NULL: the key is gone. The same call serves the watch, full
  * reads and our own writes, and drops what is older than what is known. */
@@ -41,12 +40,12 @@
 void store_lock(void);
 void store_unlock(void);
 void store_apply(const char *key, const cJSON *data, int64_t stamp); /* with the lock held */
-int64_t store_stamp(const char *key);                               /* with the lock held; 0: not there */
-void store_refresh(struct http_client *c, const char *key);         /* reads one key and applies it */
-int64_t store_epoch(void);                                          /* with the lock held: all changes up to it are in */
-bool store_ready(void);                                             /* with the lock held: read in full once */
+int64_t store_stamp(const char *key);                                /* with the lock held; 0: not there */
+void store_refresh(struct http_client *c, const char *key);          /* reads one key and applies it */
+int64_t store_epoch(void);            /* with the lock held: all changes up to it are in */
+bool store_ready(void);               /* with the lock held: read in full once */
 struct timespec store_verified(void); /* with the lock held: when the last answered watch was sent */
-bool store_away(void);                 /* with the lock held: no look at the store has succeeded lately */
+bool store_away(void);                /* with the lock held: no look at the store has succeeded lately */
 void store_mirror_start(void);
 void store_nudge(void);
 unsigned store_budget_used(void);
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -10,22 +10,9 @@
 #define SENDERS 6
 
 static const struct settings *cfg;
-static pthread_mutex_t kick_lock = PTHREAD_MUTEX_INITIALIZER;
-static pthread_cond_t kick_cond;
-static bool kicked;
+static struct base_bell bell;
 
-void workers_kick(void) {
-    pthread_mutex_lock(&kick_lock);
-    kicked = true;
-    pthread_cond_signal(&kick_cond);
-    pthread_mutex_unlock(&kick_lock);
-}
-
-static double wall(void) {
-    struct timespec t;
-    clock_gettime(CLOCK_REALTIME, &t);
-    return base_secs(t);
-}
+void workers_kick(void) { base_bell_ring(&bell); }
 
 static enum task_state state_of(const char *s) {
     static const char *const names[] = {"", "fetching", "gathering", "running", "flushing", "ended"};
@@ -64,7 +51,8 @@
     int index = (int)g_ascii_strtoll(slash + 1, NULL, 10);
     for (guint i = 0; i < m->bookings->len; i++) {
         struct booking *b = m->bookings->pdata[i];
-        if (b->attempt == attempt && b->task == index && strlen(b->job->spec.uid) == n && strncmp(b->job->spec.uid, task, n) == 0)
+        if (b->attempt == attempt && b->task == index && strlen(b->job->spec.uid) == n &&
+            strncmp(b->job->spec.uid, task, n) == 0)
             return b;
     }
     return NULL;
@@ -118,11 +106,13 @@
         b->seen = true;
         if (b->state != s) b->changed = m->heard;
         if (s == TASK_RUNNING && b->state != s)
-            log_info("task %s runs on %s (%s): %.1f s after its job came, %.1f s after booking, image was %s", task, m->id,
-                     b->job->spec.jobclass ? b->job->spec.jobclass : "?", wall() - b->job->submitted, base_since(b->booked),
+            log_info("task %s runs on %s (%s): %.1f s after its job came, %.1f s after booking, image was %s", task,
+                     m->id, b->job->spec.jobclass ? b->job->spec.jobclass : "?", base_time_of_day() - b->job->submitted,
+                     base_since(b->booked),
                      b->job->spec.image && g_hash_table_contains(m->images, b->job->spec.image) ? "there" : "fetched");
         b->state = s;
-        if ((s == TASK_RUNNING || s == TASK_GATHERING) && b->job->spec.image) g_hash_table_add(m->images, g_strdup(b->job->spec.image));
+        if ((s == TASK_RUNNING || s == TASK_GATHERING) && b->job->spec.image)
+            g_hash_table_add(m->images, g_strdup(b->job->spec.image));
         if (s == TASK_ENDED && !b->over) {
             ended(b, base_str(x, "cause"));
             change = true;
@@ -135,7 +125,8 @@
         if (m->unknown || m->sending) continue;
         bool gang_lost = b->job->spec.shape == JOB_GROUP && base_since(b->booked) > 2 * base_secs(cfg->report);
         if (b->seen || b->stop || gang_lost) {
-            log_info("task %s/%d try %lld is gone from machine %s", b->job->spec.uid, b->task, (long long)b->attempt, m->id);
+            log_info("task %s/%d try %lld is gone from machine %s", b->job->spec.uid, b->task, (long long)b->attempt,
+                     m->id);
             b->over = true;
             change = true;
         }
@@ -169,7 +160,8 @@
         if (b->over) continue;
         snprintf(task, sizeof task, "%s/%d", b->job->spec.uid, b->task);
         if (b->stop) {
-            if (b->seen && (!direct || !b->stop_sent || b->grace_s <= 0)) add_order(list, "stop", task, b->attempt, b->grace_s);
+            if (b->seen && (!direct || !b->stop_sent || b->grace_s <= 0))
+                add_order(list, "stop", task, b->attempt, b->grace_s);
             b->stop_sent = true;
         } else if (!b->seen && b->job->state == JOB_QUEUED && !m->returning && !m->want_return) {
             add_order(list, "run", task, b->attempt, -1);
@@ -193,7 +185,8 @@
     size_t len;
     const char *body = http_body(r, &len);
     cJSON *o = cJSON_ParseWithLength(body, len);
-    const char *id = base_str(o, "host"), *address = base_str(o, "address"), *sku = base_str(o, "flavour"), *site = base_str(o, "site");
+    const char *id = base_str(o, "host"), *address = base_str(o, "address"), *sku = base_str(o, "flavour"),
+               *site = base_str(o, "site");
     if (!id || !sku || !site || strlen(id) > 60) {
         http_reply(r, 400, "{\"error\":\"host, flavour or site is missing\"}", 0);
         cJSON_Delete(o);
@@ -355,10 +348,7 @@
 static void *post_main(void *arg) {
     (void)arg;
     for (;;) {
-        pthread_mutex_lock(&kick_lock);
-        if (!kicked) base_cond_wait(&kick_cond, &kick_lock, base_span(1));
-        kicked = false;
-        pthread_mutex_unlock(&kick_lock);
+        base_bell_await(&bell, base_span(1));
         post_letters();
         base_sleep(base_span(0.02));
     }
@@ -367,7 +357,7 @@
 
 void workers_init(const struct settings *s) {
     cfg = s;
-    base_cond_init(&kick_cond);
+    base_bell_init(&bell);
     pthread_mutex_init(&outbox.lock, NULL);
     base_cond_init(&outbox.cond);
     outbox.q = g_queue_new();
