A cut zone lives on: its controllers keep its leases, and it is asked at once when it is back

Ruled out: replacing them at once (25 s of boot, 12 s of fetch for 30% of the fleet). - A controller inside the zone, without store and owner in reach, answers reports with the token the machine has, and orders only the end of cancelled tasks; bound by its last look at the store like an owner. The bound's margin is now the clocks' drift instead of a tenth. - Outside, the zone is waited for as long as its tasks may live; nothing is booked or rented there; machines with nothing running are given back at once; spares boot towards the end of that time. - Once back it gets the time to be heard: 65 healthy machines were returned when the first of them answered. - A direct answer proves absence if no answer to a report of that session carried a start: a new owner knows what runs as soon as it has asked. 16 threads ask, since an address that hangs costs one its limit. - Returns of silent machines with tasks on them go first and may use the next call's part. - Changes are parted by shares owned: a controller that came back without a share held a third of them. - A planned shift waits half a lease.

--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -89,12 +89,13 @@
     return cfg->cloud_rps * MAX((double)mine / all, least);
 }
 
-static bool may_call(void) {
+/* Urgent calls may take the next call's part: the service allows short bursts. */
+static bool may_call(bool urgent) {
     double rate = call_rate();
     struct timespec now = base_now();
     tokens = MIN(tokens + (base_secs(now) - base_secs(tokens_at)) * rate, MAX(1, rate * 1.5));
     tokens_at = now;
-    if (base_secs(now) < base_secs(held_off) || tokens < 1) return false;
+    if (base_secs(now) < base_secs(held_off) || tokens < (urgent ? 0 : 1)) return false;
     tokens -= 1;
     return true;
 }
@@ -277,20 +278,25 @@
         double list_every = MAX(2.5, 6 * membership_live() / cfg->cloud_rps);
         store_unlock();
         if ((!n_flavours && (leads || base_since(began) > 6)) || (leads && base_since(typed) > 120)) {
-            if (!may_call()) continue;
+            if (!may_call(false)) continue;
             read_flavours(c);
             typed = base_now();
             continue;
         }
-        /* A plan for a whole share is worth its time only when a call can be made. */
-        if (!n_flavours || !may_call()) continue;
+        if (!n_flavours) continue;
         char ids[100][64];
         struct rent_order orders[16];
+        int busy, wants = 0;
+        store_lock();
+        int back = renting_return_plan(ids, 100, &busy);
+        store_unlock();
+        /* A plan for a whole share is worth its time only when a call can be made. */
+        if (!may_call(busy > 0)) continue;
         store_lock();
-        int back = renting_return_plan(ids, 100), wants = 0;
         bool list_first = base_since(listed) > 4 * list_every;
-        /* Returns are few calls for many machines; they must not wait for rentals without end. */
-        bool back_first = back >= 20 || (back && base_since(returned) > 12);
+        /* Returns are few calls for many machines; they must not wait for rentals without end, and tasks that can start
+         * elsewhere only once their silent machine is returned wait for nothing. */
+        bool back_first = busy || back >= 20 || (back && base_since(returned) > 12);
         if (!pending.open && !back_first && !list_first) wants = renting_plan(orders, 16);
         store_unlock();
         if (back && (back_first || !(pending.open || wants || list_first))) {
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -46,15 +46,16 @@
            strcmp(shares[k].inc, my_inc) == 0 && store_epoch() >= shares[k].stamp;
 }
 
-bool membership_verified(void) {
+double membership_bound(void) {
     /* A cancellation told elsewhere after our last look must be kept within cancel_s, and an answered report keeps
-     * tasks alive for lease_s more, counted from when it was sent. The margin, a tenth and a bit, covers the clocks'
-     * drift; it scales, since a deployment may leave little between the two. */
-    double room = base_secs(cfg->cancel) - base_secs(cfg->lease),
-           most = room * 0.9 - 0.2 - 0.001 * base_secs(cfg->cancel);
-    return store_ready() && base_since(store_verified()) < most;
+     * tasks alive for lease_s more, counted from when it was sent, which is before we answer it. The margin covers the
+     * drift of both clocks, twice, and the steps of timers; no more, since a zone that is cut off lives on by it. */
+    double room = base_secs(cfg->cancel) - base_secs(cfg->lease);
+    return room - MIN(0.5, room * 0.1) - 0.002 * base_secs(cfg->cancel);
 }
 
+bool membership_verified(void) { return store_ready() && base_since(store_verified()) < membership_bound(); }
+
 bool membership_leads(void) { return strcmp(leader, cfg->node) == 0 && strcmp(leader_inc, my_inc) == 0; }
 
 int membership_live(void) {
@@ -63,6 +64,20 @@
     return n > 0 ? n : 1;
 }
 
+double membership_writing_part(int live, int size, int owned) {
+    /* Changes go with shares, but for the jobs that any controller accepts: one that came back and owns nothing yet
+     * once held a third of them, while an owner of two shares wrote for 13 s what it knew after a cut. */
+    const double accepts = 0.25;
+    return (accepts + owned) / (accepts * MAX(live, 1) + size);
+}
+
+static void part_budget(void) {
+    int owned = 0;
+    for (int k = 0; k < cfg->size; k++)
+        owned += strcmp(shares[k].owner, cfg->node) == 0 && strcmp(shares[k].inc, my_inc) == 0;
+    store_budget_parts(membership_live(), membership_writing_part(membership_live(), cfg->size, owned));
+}
+
 static void apply_node(const char *rest, const cJSON *data, int64_t stamp) {
     struct node *x = NULL;
     for (int i = 0; i < n_nodes; i++)
@@ -76,7 +91,7 @@
     if (data && (!x->live || strcmp(x->inc, inc ? inc : "") != 0)) x->since = base_now();
     if (!data && x->live) log_info("controller %s is gone", rest);
     x->live = data != NULL;
-    store_budget_parts(membership_live());
+    part_budget();
     x->stamp = data ? stamp : 0;
     x->deaf = base_flag(data, "deaf");
     g_strlcpy(x->inc, inc ? inc : "", sizeof x->inc);
@@ -108,6 +123,7 @@
     g_strlcpy(s->inc, i ? i : "", sizeof s->inc);
     s->stamp = data ? stamp : 0;
     if (!base_int(data, "fence", &s->fence)) s->fence = 0;
+    part_budget();
 }
 
 void membership_init(const struct settings *s) {
@@ -228,8 +244,10 @@
     int k = membership_plan(cfg->size, owner, n, &to);
     if (k < 0) return false;
     struct node *target = &nodes[live[to]];
-    /* A planned shift waits until the newcomer has stayed a while, so that shares don't flap with it. */
-    if (!orphans && (base_since(target->since) < 5 || base_since(shares[k].changed) < 5)) return false;
+    /* A planned shift waits until the newcomer has stayed a while, so that shares don't flap with it, and until what
+     * brought the newcomer has passed: a new owner has to ask all machines anew. */
+    double settled = base_secs(cfg->lease) / 2;
+    if (!orphans && (base_since(target->since) < settled || base_since(shares[k].changed) < settled)) return false;
     struct node *was = shares[k].owner[0] ? find_node(shares[k].owner) : NULL;
     if (orphans && shares[k].owner[0] && !(was && was->live)) {
         char key[96];
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -15,6 +15,7 @@
 /* All of these with store_lock held. */
 const struct share *membership_share(int k);
 bool membership_mine(int k);    /* share K is ours, and the mirror holds all that its former owner wrote */
+double membership_bound(void);  /* for how many seconds a look at the store entitles to answer workers */
 bool membership_verified(void); /* recent enough to answer workers: a cancellation told elsewhere can still be kept */
 int membership_live(void);      /* live controllers */
 int64_t membership_fence(void); /* the counter as mirrored */
@@ -25,6 +26,9 @@
 void membership_set_deaf(bool deaf);
 bool membership_deaf(void);
 
+/* Pure: the part of the store's changes that is due to a controller with so many shares. */
+double membership_writing_part(int live, int size, int owned);
+
 /* Pure: the share to move and where, so that the owned counts differ by one at most. -1: nothing to move. */
 int membership_plan(int size, const int *owner, int nodes, int *to);
 #endif
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -60,6 +60,23 @@
     store_unlock();
 }
 
+/* Changes go with the shares: together all of them, and a controller without shares has enough to accept jobs. */
+static void writing_part(void **state) {
+    (void)state;
+    static const struct {
+        int live, size, owned[3];
+    } rows[] = {{3, 3, {1, 1, 1}}, {3, 3, {2, 1, 0}}, {2, 3, {3, 0, 0}}, {1, 7, {7, 0, 0}}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        double sum = 0;
+        for (int n = 0; n < rows[i].live; n++) {
+            double part = membership_writing_part(rows[i].live, rows[i].size, rows[i].owned[n]);
+            assert_true(part > 0 && part >= rows[i].owned[n] * 0.8 / rows[i].size);
+            sum += part;
+        }
+        assert_true(sum > 0.99 && sum < 1.01);
+    }
+}
+
 int main(void) {
     static struct settings s;
     char err[256];
@@ -67,6 +84,6 @@
     store_init(&s);
     membership_init(&s);
     const struct CMUnitTest tests[] = {cmocka_unit_test(plan), cmocka_unit_test(mirror_order),
-                                       cmocka_unit_test(not_ours_unread)};
+                                       cmocka_unit_test(not_ours_unread), cmocka_unit_test(writing_part)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/peers/peers.c
+++ b/src/peers/peers.c
@@ -10,7 +10,8 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static pthread_cond_t cond;
 static unsigned hints;
-static struct timespec saw[SETTINGS_SEEDS]; /* when that peer last told of a store it had just seen */
+static struct timespec saw[SETTINGS_SEEDS];     /* when that peer last told of a store it had just seen */
+static struct timespec reached[SETTINGS_SEEDS]; /* when it last answered at all */
 
 static void on_peer(struct http_req *r, void *ctx) {
     (void)ctx;
@@ -40,9 +41,10 @@
         long status;
         cJSON *a = NULL;
         asked = base_now();
-        if (http_call(c, "GET", url, NULL, 700, &status, &a) == HTTP_ANSWERED && base_num(a, "store_age_s", 1e6) < 4) {
+        if (http_call(c, "GET", url, NULL, 700, &status, &a) == HTTP_ANSWERED) {
             pthread_mutex_lock(&lock);
-            saw[i] = base_now();
+            reached[i] = base_now();
+            if (base_num(a, "store_age_s", 1e6) < 4) saw[i] = reached[i];
             pthread_mutex_unlock(&lock);
         }
         cJSON_Delete(a);
@@ -75,3 +77,12 @@
     pthread_mutex_unlock(&lock);
     return yes;
 }
+
+bool peers_reach(const char *node) {
+    bool yes = false;
+    pthread_mutex_lock(&lock);
+    for (int i = 0; i < cfg->n_seeds; i++)
+        yes |= strcmp(cfg->seeds[i].node, node) == 0 && reached[i].tv_sec && base_since(reached[i]) < 3;
+    pthread_mutex_unlock(&lock);
+    return yes;
+}
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -6,6 +6,7 @@
 
 void peers_init(const struct settings *s);
 bool peers_start(void);
-void peers_hint(void);      /* something new is in the store */
-bool peers_see_store(void); /* a peer reached the store lately */
+void peers_hint(void);              /* something new is in the store */
+bool peers_see_store(void);         /* a peer reached the store lately */
+bool peers_reach(const char *node); /* that controller answered lately */
 #endif
--- a/src/records/records.c
+++ b/src/records/records.c
@@ -196,7 +196,7 @@
     m->heard = m->reported = m->mine_since = base_now();
     m->unknown = m->need_raise = m->draining = m->want_return = m->dead = m->answered = false;
     m->pass_to = -1;
-    m->seen_fence = 0;
+    m->seen_fence = m->ordered_tenure = 0;
     m->ignored = 0;
     m->up = m->bookings->len > 0;
     m->rows = 0;
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -53,9 +53,11 @@
     bool unknown; /* a direct command's outcome is not known */
     int64_t unknown_fence, unknown_tenure;
     bool sending, need_raise, kick, hello;
-    bool answered;  /* its last report got a 200 under the token it should show by now */
-    int ignored;    /* reports in a row that show nothing of what we answered */
-    bool unwritten; /* its address is known, but not on record */
+    int64_t
+        ordered_tenure; /* the latest session of it in which an answer to a report carried our run orders; 0: none */
+    bool answered;      /* its last report got a 200 under the token it should show by now */
+    int ignored;        /* reports in a row that show nothing of what we answered */
+    bool unwritten;     /* its address is known, but not on record */
     GArray *strays;
     double occ[RECORDS_WINDOW][3];
     int rows;
--- a/src/renting/renting.c
+++ b/src/renting/renting.c
@@ -10,6 +10,7 @@
 #include "../passing/passing.h"
 #include "../placement/placement.h"
 #include "../rounds/rounds.h"
+#include "../watch/watch.h"
 
 static const struct settings *cfg;
 
@@ -52,7 +53,7 @@
 }
 
 /* The cheapest type that fits, its kind, and a zone that has not just refused. */
-static bool choose(const struct job *j, const char *site, bool dear, struct rent_order *o) {
+static bool choose(int k, const struct job *j, const char *site, bool dear, struct rent_order *o) {
     for (int spot = j->spec.reclaimable ? 1 : 0; spot >= (j->spec.reclaimable && !dear ? 1 : 0); spot--) {
         double best = 0;
         bool found = false;
@@ -63,7 +64,7 @@
             for (int z = 0; z < f->n_sites; z++) {
                 const char *s = f->sites[z];
                 if ((site && strcmp(site, s) != 0) || (j->spec.site && strcmp(j->spec.site, s) != 0)) continue;
-                if (!cloud_open(f->sku, s, spot == 1)) continue;
+                if (!cloud_open(f->sku, s, spot == 1) || watch_zone_cut(k, s)) continue;
                 /* Among equal prices, the zone where this share has least; a whole order goes to one, calls are scarce.
                  */
                 double cost = price * (1 + 0.001 * (here_in(s) / zone_lot));
@@ -81,7 +82,7 @@
 }
 
 /* For a gang that stays together: the zone in which what is there or on its way takes most of it. */
-static void fullest_zone(const GArray *vms, const struct job *j, char *site, size_t n) {
+static void fullest_zone(int k, const GArray *vms, const struct job *j, char *site, size_t n) {
     int best = 0;
     for (int z = 0; z < cfg->n_zones; z++) {
         int fit = 0;
@@ -92,7 +93,7 @@
         }
         /* Pieces in a zone that the cloud adds nothing to are no beginning. */
         struct rent_order o;
-        if (fit <= best || (fit < j->spec.tasks && !choose(j, cfg->zones[z], true, &o))) continue;
+        if (fit <= best || (fit < j->spec.tasks && !choose(k, j, cfg->zones[z], true, &o))) continue;
         best = fit;
         g_strlcpy(site, cfg->zones[z], n);
     }
@@ -117,6 +118,7 @@
             if (s->reclaimable) slots += s->gpus;
         }
         if (!m->up) {
+            if (watch_zone_cut(k, m->site)) continue; /* nobody knows when it is heard */
             renting_vm_add(vms, m->sku, m->site, m->spot);
             booting = true;
         } else if (!m->spot && !m->draining && m->warning < 0) {
@@ -173,7 +175,7 @@
         if (placement_site(j))
             g_strlcpy(site, placement_site(j), sizeof site);
         else if (j->spec.together)
-            fullest_zone(vms, j, site, sizeof site);
+            fullest_zone(k, vms, j, site, sizeof site);
         const struct settings_team *t = &cfg->teams[j->spec.team];
         for (int x = 0; x < left && x < 128; x++) {
             used += j->spec.gpus;
@@ -202,7 +204,7 @@
             }
             struct rent_order o;
             memset(&o, 0, sizeof o);
-            if (!taken && have + fresh < cap && choose(j, want, dear, &o)) {
+            if (!taken && have + fresh < cap && choose(k, j, want, dear, &o)) {
                 static const int weights[] = {1, 2, 6, 8};
                 o.weight = weights[j->spec.rank];
                 renting_vm_add(vms, o.sku, o.site, o.spot);
@@ -228,7 +230,7 @@
         }
         struct rent_order o;
         memset(&o, 0, sizeof o);
-        if (like && (!lone || occ > cfg->tuning.reception) && choose(like, NULL, true, &o))
+        if (like && (!lone || occ > cfg->tuning.reception) && choose(k, like, NULL, true, &o))
             renting_vm_add(vms, o.sku, o.site, o.spot);
     }
     for (guint y = first_new; y < vms->len; y++) {
@@ -269,13 +271,18 @@
     return n;
 }
 
-int renting_return_plan(char ids[][64], int most) {
+/* Those with tasks first: until the cloud has answered, these can't start elsewhere. */
+int renting_return_plan(char ids[][64], int most, int *busy) {
     int n = 0;
-    for (int k = 0; k < cfg->size; k++)
-        for (guint i = 0; membership_mine(k) && i < records_of(k)->len && n < most; i++) {
-            struct machine *m = records_of(k)->pdata[i];
-            if (m->returning && !m->dead && records_mine(m)) g_strlcpy(ids[n++], m->id, 64);
-        }
+    *busy = 0;
+    for (int with_tasks = 1; with_tasks >= 0; with_tasks--)
+        for (int k = 0; k < cfg->size; k++)
+            for (guint i = 0; membership_mine(k) && i < records_of(k)->len && n < most; i++) {
+                struct machine *m = records_of(k)->pdata[i];
+                if (!m->returning || m->dead || !records_mine(m) || (bookings_live(m) > 0) != with_tasks) continue;
+                g_strlcpy(ids[n++], m->id, 64);
+                *busy += with_tasks;
+            }
     return n;
 }
 
--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -86,7 +86,8 @@
         }
         m->open = m->up && m->page >= 0 && m->flavour && !records_leaving(m) && !m->draining && m->pass_to < 0 &&
                   m->warning < 0 && !m->need_raise && !m->unknown && m->ignored == 0 &&
-                  m->seen_fence >= records_token(m) && base_since(m->reported) < quiet && m->bookings->len < 200;
+                  m->seen_fence >= records_token(m) && base_since(m->reported) < quiet && m->bookings->len < 200 &&
+                  !watch_zone_cut(k, m->site);
     }
 }
 
--- a/src/rounds/rounds_test.c
+++ b/src/rounds/rounds_test.c
@@ -12,6 +12,7 @@
 #include "placement/placement.h"
 #include "preempt/preempt.h"
 #include "renting/renting.h"
+#include "watch/watch.h"
 #include "workers/workers.h"
 
 static struct settings cfg;
@@ -318,6 +319,7 @@
     preempt_init(&cfg);
     passing_init(&cfg);
     renting_init(&cfg);
+    watch_init(&cfg);
     store_mirror_start();
     membership_start();
     for (int i = 0; i < 100; i++) {
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -15,6 +15,7 @@
 static pthread_mutex_t budget_lock = PTHREAD_MUTEX_INITIALIZER;
 static double budget_calls, budget_writes, budget_pace = 1;
 static int budget_parts = 1;
+static double budget_writing = 1; /* our part of the changes */
 static struct timespec budget_at, budget_block;
 static unsigned budget_used;
 static const double budget_reserve[] = {-1e9, 0, 0.08, 0.2, 0.3};
@@ -23,7 +24,7 @@
 
 static double rate_calls(void) { return MIN(cfg->state_rps * 0.8, cfg->state_rps * budget_pace / budget_parts); }
 static double rate_writes(void) {
-    return MIN(cfg->state_write_rps * 0.8, cfg->state_write_rps * 0.95 * budget_pace / budget_parts);
+    return MIN(cfg->state_write_rps * 0.8, cfg->state_write_rps * 0.95 * budget_pace * budget_writing);
 }
 /* The bucket holds a whole transaction, however small the part is. */
 static double most_writes(void) { return MIN(MAX(rate_writes(), cfg->txn_ops), cfg->state_write_rps); }
@@ -37,9 +38,10 @@
     budget_pace = MIN(budget_pace + dt * 0.08, PACE_MOST);
 }
 
-void store_budget_parts(int controllers) {
+void store_budget_parts(int controllers, double writing) {
     pthread_mutex_lock(&budget_lock);
     budget_parts = MAX(controllers, 1);
+    budget_writing = writing;
     pthread_mutex_unlock(&budget_lock);
 }
 
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -49,6 +49,6 @@
 void store_mirror_start(void);
 void store_nudge(void);
 unsigned store_budget_used(void);
-int store_budget_room(enum store_class cls); /* changes that the budget allows to the class now */
-void store_budget_parts(int controllers);    /* how many share the service's limits */
+int store_budget_room(enum store_class cls);              /* changes that the budget allows to the class now */
+void store_budget_parts(int controllers, double writing); /* how many share the service; our part of the changes */
 #endif
--- a/src/watch/watch.c
+++ b/src/watch/watch.c
@@ -41,11 +41,14 @@
     return n == 0;
 }
 
-/* How many of our machines are up, and how many of them spoke lately. The time is shorter than any silence that has a
- * consequence: with the same time for both, a controller that lost all workers at once found the first of them silent
- * while it had "just" heard the others, and returned one healthy machine after the other. */
+/* Shorter than any silence that has a consequence: with the same time for both, a controller that lost all workers at
+ * once found the first of them silent while it had "just" heard the others, and returned one healthy machine after the
+ * other. */
+static double heard_lately(void) { return MIN(base_secs(cfg->report) * 1.25 + 1, silent_limit() * 0.6); }
+
+/* How many of our machines are up, and how many of them spoke lately. */
 void watch_count_heard(int *up, int *heard, int *reported) {
-    double lately = MIN(base_secs(cfg->report) * 1.25 + 1, silent_limit() * 0.6);
+    double lately = heard_lately();
     *up = *heard = *reported = 0;
     for (int k = 0; k < cfg->size; k++)
         for (guint i = 0; membership_mine(k) && i < records_of(k)->len; i++) {
@@ -63,32 +66,78 @@
 }
 
 struct zone_watch {
-    int up;
+    int up, heard;
     double newest; /* seconds since any of its machines was heard */
 };
 
+static bool zone_cut[RECORDS_SHARES][SETTINGS_ZONES]; /* as of the last look */
+static struct timespec zone_back[RECORDS_SHARES][SETTINGS_ZONES];
+
+bool watch_zone_cut(int k, const char *site) {
+    int z = settings_zone(cfg, site);
+    return z >= 0 && membership_mine(k) && zone_cut[k][z];
+}
+
+/* How long the tasks of a machine in a cut zone may live on after it was last heard: a controller in there, if there is
+ * one, answers it for as long as its last look at the store is good, and then its lease runs out. */
+double watch_zone_keeps(const char *site) {
+    bool inside = strcmp(cfg->area, site) == 0;
+    for (int i = 0; i < cfg->n_seeds; i++) inside |= strcmp(cfg->seeds[i].area, site) == 0;
+    return base_secs(cfg->lease) + (inside ? membership_bound() + 1 : 0);
+}
+
 /* Zones of a share in which nothing is heard any more: cut off rather than dead, machine by machine. */
 static void look_at_zones(int k, struct zone_watch *z) {
-    for (int i = 0; i < cfg->n_zones; i++) z[i] = (struct zone_watch){0, 1e9};
+    double lately = heard_lately();
+    for (int i = 0; i < cfg->n_zones; i++) z[i] = (struct zone_watch){0, 0, 1e9};
     for (guint i = 0; i < records_of(k)->len; i++) {
         const struct machine *m = records_of(k)->pdata[i];
         if (!m->up || records_leaving(m)) continue;
         int n = settings_zone(cfg, m->site);
         if (n < 0) continue;
         z[n].up++;
+        z[n].heard += base_since(m->heard) < lately;
         z[n].newest = MIN(z[n].newest, base_since(m->heard));
     }
+    for (int i = 0; i < cfg->n_zones; i++) {
+        bool cut = z[i].newest > watch_zone_silence(z[i].up, base_secs(cfg->report));
+        if (zone_cut[k][i] != cut) log_info("share %d: zone %s is %s", k, cfg->zones[i], cut ? "silent" : "back");
+        if (zone_cut[k][i] && !cut) zone_back[k][i] = base_now();
+        zone_cut[k][i] = cut;
+    }
+}
+
+/* A machine of a cut zone. It may be back before its tasks' end; until then they run on. If it is not, their replicas
+ * should find machines that have booted meanwhile. True: nothing is to be done about it yet. */
+static bool wait_for_zone(struct machine *m, const struct zone_watch *z) {
+    double keeps = watch_zone_keeps(m->site), boot = m->flavour ? m->flavour->startup_s : 60;
+    if (z->newest >= keeps) return false;
+    bool runs = false;
+    for (guint b = 0; b < m->bookings->len; b++) {
+        struct booking *x = m->bookings->pdata[b];
+        if (z->newest > MAX(5, keeps - 1.5 * boot - 5))
+            x->job->at_risk += !x->over && x->job->spec.shape == JOB_STANDING;
+        runs |= !x->over && (x->seen || x->inherited);
+    }
+    /* Nothing runs there, and what was ordered last may never have come: given back, its tasks start elsewhere now. */
+    return runs || m->bookings->len == 0 || z->newest < 5;
 }
 
 void watch_machines(int k, int up, int heard) {
     for (guint i = 0; i < jobs_active_of(k)->len; i++) ((struct job *)jobs_active_of(k)->pdata[i])->at_risk = 0;
     struct zone_watch zones[SETTINGS_ZONES];
     look_at_zones(k, zones);
+    /* If most are silent it is more likely us than them; not so if one zone is silent and another is heard well. */
+    bool hearing = heard * 2 >= up - 1;
+    for (int z = 0; z < cfg->n_zones; z++) hearing |= zones[z].up >= 4 && zones[z].heard * 10 >= zones[z].up * 8;
     for (guint i = 0; i < records_of(k)->len; i++) {
         struct machine *m = records_of(k)->pdata[i];
         if (records_leaving(m)) continue;
-        /* If most are silent it is more likely us than them. */
-        if (m->up && base_since(m->heard) > base_secs(cfg->report) * 1.25 + 0.4 && base_since(m->probed) > 1.5) {
+        int z = settings_zone(cfg, m->site);
+        bool cut = z >= 0 && zone_cut[k][z];
+        /* Of a cut zone a few are asked, in turn: each that does not answer costs a sender its time limit. */
+        double again = cut ? MAX(1.5, zones[z].up / 4.0) : 1.5;
+        if (m->up && base_since(m->heard) > base_secs(cfg->report) * 1.25 + 0.4 && base_since(m->probed) > again) {
             /* Asked directly, so that silence is not just a report on its way round the controllers. */
             m->probed = base_now();
             m->hello = true;
@@ -100,18 +149,11 @@
             log_info("machine %s: its reports arrive, our answers don't reach it; returning it", m->id);
             m->want_return = true;
         }
-        /* A zone that is cut off may be back before its machines' leases end, and until then their tasks run on. If it
-         * is not, their replicas should find machines that have booted meanwhile. */
-        int z = settings_zone(cfg, m->site);
-        if (m->up && z >= 0 && zones[z].newest > watch_zone_silence(zones[z].up, base_secs(cfg->report)) &&
-            base_since(m->heard) < base_secs(cfg->lease)) {
-            silent = false;
-            for (guint b = 0; zones[z].newest > 5 && b < m->bookings->len; b++) {
-                struct booking *x = m->bookings->pdata[b];
-                x->job->at_risk += !x->over && x->job->spec.shape == JOB_STANDING;
-            }
-        }
-        if (m->up && silent && heard * 2 >= up - 1) {
+        /* When a cut zone is heard again, its machines come one after the other: 65 healthy ones were once returned in
+         * the moment in which the first of them answered. */
+        if (z >= 0 && base_since(zone_back[k][z]) < silent_limit()) silent = false;
+        if (m->up && cut) silent = !wait_for_zone(m, &zones[z]);
+        if (m->up && silent && hearing) {
             log_info("machine %s: silent for %.0f s, returning it", m->id, base_since(m->heard));
             m->want_return = true;
         }
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -9,5 +9,8 @@
 void watch_count_heard(int *up, int *heard, int *reported);
 /* Pure: after how long without a word from any of so many machines of a zone the zone counts as cut off. */
 double watch_zone_silence(int machines, double report_s);
+double watch_zone_keeps(const char *site);
+/* With store_lock held. Nothing is heard of the share's machines in the zone. */
+bool watch_zone_cut(int k, const char *site);
 void watch_machines(int k, int up, int heard);
 #endif
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -6,10 +6,11 @@
 #include <string.h>
 
 #include "../membership/membership.h"
+#include "../peers/peers.h"
 #include "../rounds/rounds.h"
 
-#define SENDERS 8
-#define PROBERS 3 /* of them */
+#define SENDERS 24
+#define PROBERS 16 /* of them: an address that hangs costs one its time limit, and many hang at once */
 
 static const struct settings *cfg;
 static struct base_bell bell;
@@ -169,10 +170,14 @@
             change = true;
         }
     }
-    for (guint i = 0; checkin && i < m->bookings->len && i < 256; i++) {
+    /* A report follows every answer of ours. A direct answer does not, unless none of this session carried a start:
+     * others' and earlier ones' answers are ruled out by the token and the session that it shows. So a takeover knows
+     * what runs as soon as it has asked; waiting for reports took 20 s after a cut. */
+    bool proves = checkin || m->ordered_tenure < tenure;
+    for (guint i = 0; proves && i < m->bookings->len && i < 256; i++) {
         struct booking *b = m->bookings->pdata[i];
         if (listed[i] || b->over) continue;
-        /* Not on the machine by a report that follows every answer of ours; gone only if nothing is under way. */
+        /* Not on the machine; gone only if nothing is under way. */
         if (m->unknown || m->sending) continue;
         bool gang_lost = b->job->spec.shape == JOB_GROUP && base_since(b->booked) > 2 * base_secs(cfg->report);
         if (b->seen || b->stop || b->inherited || gang_lost) {
@@ -218,7 +223,10 @@
             b->stop_sent = true;
         } else if (!b->seen && !b->inherited && b->job->state == JOB_QUEUED && !m->returning && !m->want_return) {
             add_order(list, "run", task, b->attempt, -1);
-            if (!direct) b->ordered++;
+            if (!direct) {
+                b->ordered++;
+                m->ordered_tenure = m->tenure;
+            }
         }
     }
     return list;
@@ -237,6 +245,28 @@
     http_reply(r, 421, body, 0);
 }
 
+/* In a zone that is cut off, the owner of a machine may be outside. Then a controller inside answers for it with the
+ * token that the machine has, so that its lease goes on, and orders nothing but the end of cancelled tasks. Nobody else
+ * relies on the lease's end: a start elsewhere needs a report's or the cloud's proof. Bound like an owner's answers to
+ * the last look at the store, and over as soon as store or owner is in reach. */
+bool workers_stand_in(const struct machine *m) {
+    const char *owner = m->share < 0 ? "" : membership_share(m->share)->owner;
+    return store_away() && membership_verified() && strcmp(m->site, cfg->area) == 0 && strcmp(owner, cfg->node) != 0 &&
+           !peers_reach(owner);
+}
+
+cJSON *workers_stand_in_answer(struct machine *m, const cJSON *report) {
+    cJSON *a = cJSON_CreateObject(), *orders = cJSON_CreateArray();
+    list_cancelled(m, report);
+    for (guint i = 0; i < m->strays->len; i++) {
+        const struct stray *s = &g_array_index(m->strays, struct stray, i);
+        add_order(orders, "stop", s->task, s->attempt, 0);
+    }
+    cJSON_AddNumberToObject(a, "fence", (double)records_token(m));
+    cJSON_AddItemToObject(a, "orders", orders);
+    return a;
+}
+
 static void on_checkin(struct http_req *r) {
     size_t len;
     const char *body = http_body(r, &len);
@@ -263,7 +293,11 @@
         }
     } else if (!records_mine(m)) {
         const struct share *s = membership_share(m->share);
-        if (strcmp(s->owner, cfg->node) == 0)
+        int64_t fence = 0;
+        base_int(o, "fence", &fence);
+        if (fence <= records_token(m) && workers_stand_in(m))
+            http_reply_json(r, 200, workers_stand_in_answer(m, o), 0);
+        else if (strcmp(s->owner, cfg->node) == 0)
             http_reply(r, 503, NULL, 1);
         else
             go_elsewhere(r, s->owner);
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -7,6 +7,8 @@
 void workers_start(void);
 void workers_kick(void);
 bool workers_route(struct http_req *r);
+bool workers_stand_in(const struct machine *m); /* with store_lock held: answer for an owner that the zone lost */
+cJSON *workers_stand_in_answer(struct machine *m, const cJSON *report);
 
 /* With store_lock held. Takes in a report. checkin: false for the body of a direct command's answer, which proves
  * nothing about orders that may still travel in a report's answer. False: the report is older than what is known. */
--- a/src/workers/workers_test.c
+++ b/src/workers/workers_test.c
@@ -7,7 +7,9 @@
 #include "bookings/bookings.h"
 #include "cloud/cloud.h"
 #include "membership/membership.h"
+#include "peers/peers.h"
 #include "rounds/rounds.h"
+#include "watch/watch.h"
 
 static struct settings cfg;
 
@@ -81,18 +83,25 @@
         const char *what, *first, *second;
         int tenure, seq, less; /* of the second report; less: fence below ours */
         bool checkin, unknown, inherited, over;
+        int ordered; /* session in which an answer to a report carried starts */
     } rows[] = {
-        {"seen, then not listed", T("running"), "", 1, 3, 0, true, false, false, true},
-        {"seen, then not listed by an older report", T("running"), "", 1, 1, 0, true, false, false, false},
-        {"under a former owner's token", T("running"), "", 1, 3, 1, true, false, false, false},
-        {"not listed by a direct answer only", T("running"), "", 1, 3, 0, false, false, false, false},
-        {"a command may still be under way", T("running"), "", 1, 3, 0, true, true, false, false},
-        {"never seen: it is started again, not released", "", "", 1, 3, 0, true, false, false, false},
-        {"a former owner's, and not there: released, not started", "", "", 1, 3, 0, true, false, true, true},
-        {"a former owner's, but under an older token", NULL, "", 1, 3, 1, true, false, true, false},
-        {"ended", T("running"), T("ended"), 1, 3, 0, true, false, false, true},
-        {"a new session has killed it", T("running"), "", 2, 1, 0, true, false, false, true},
-        {"a state not known to us may run", T("running"), T("resting"), 1, 3, 0, true, false, false, false},
+        {"seen, then not listed", T("running"), "", 1, 3, 0, true, false, false, true, 0},
+        {"seen, then not listed by an older report", T("running"), "", 1, 1, 0, true, false, false, false, 0},
+        {"under a former owner's token", T("running"), "", 1, 3, 1, true, false, false, false, 0},
+        {"not listed by a direct answer, a start may be on its way", T("running"), "", 1, 3, 0, false, false, false,
+         false, 1},
+        {"not listed by a direct answer, and no answer carried a start", T("running"), "", 1, 3, 0, false, false, true,
+         true, 0},
+        {"the same, while a direct command is under way", T("running"), "", 1, 3, 0, false, true, true, false, 0},
+        {"a direct answer in a session after the one with starts", T("running"), "", 2, 1, 0, false, false, false, true,
+         1},
+        {"a command may still be under way", T("running"), "", 1, 3, 0, true, true, false, false, 0},
+        {"never seen: it is started again, not released", "", "", 1, 3, 0, true, false, false, false, 0},
+        {"a former owner's, and not there: released, not started", "", "", 1, 3, 0, true, false, true, true, 0},
+        {"a former owner's, but under an older token", NULL, "", 1, 3, 1, true, false, true, false, 0},
+        {"ended", T("running"), T("ended"), 1, 3, 0, true, false, false, true, 0},
+        {"a new session has killed it", T("running"), "", 2, 1, 0, true, false, false, true, 0},
+        {"a state not known to us may run", T("running"), T("resting"), 1, 3, 0, true, false, false, false, 0},
     };
     store_lock();
     put("job/req-10001", SPEC("req-10001", "batch", "2"), ++stamp);
@@ -104,6 +113,7 @@
         struct machine *m = fresh(id, 0, "req-10001", at, rows[i].inherited);
         struct booking *b = m->bookings->pdata[0];
         if (rows[i].first) assert_true(report(m, 1, 2, f, rows[i].first, true));
+        m->ordered_tenure = rows[i].ordered;
         if (rows[i].unknown) {
             m->unknown = true;
             m->unknown_fence = f;
@@ -300,6 +310,52 @@
     store_unlock();
 }
 
+/* A zone that lost the others: a controller in there answers for owners outside, as long as its last look is good. */
+static void stands_in(void **state) {
+    (void)state;
+    store_lock();
+    put("share/1", "{\"owner\":\"n1\",\"inc\":\"x\",\"fence\":70}", ++stamp);
+    put("fleet/1/0",
+        "{\"sku\":[\"g\"],\"site\":[\"za\",\"zb\"],\"m\":[[\"i-000960\",\"\",0,0,0,0,1,\"\"],"
+        "[\"i-000961\",\"\",0,1,0,0,1,\"\"]]}",
+        ++stamp);
+    struct machine *here = records_find("i-000960"), *there = records_find("i-000961");
+    char *text = site_with(SPEC("req-10005", "batch", "2"), "\"queued\"", "\"cancelled\"");
+    put("job/req-10005", SPEC("req-10005", "batch", "2"), ++stamp);
+    put("job/req-10005", text, ++stamp);
+    g_free(text);
+    assert_false(workers_stand_in(here)); /* the store is in reach */
+    store_unlock();
+    standin_state_trouble(STANDIN_OUTAGE);
+    struct timespec start = base_now();
+    bool away = false;
+    while (!away && base_since(start) < 8) {
+        base_sleep(base_span(0.1));
+        store_lock();
+        away = store_away();
+        store_unlock();
+    }
+    store_lock();
+    assert_true(workers_stand_in(here));
+    assert_false(workers_stand_in(there));
+    cJSON *o = cJSON_Parse(
+        "{\"tasks\":[{\"task\":\"req-10005/0\",\"try\":4,\"state\":\"running\"},"
+        "{\"task\":\"req-10001/0\",\"try\":4,\"state\":\"running\"}]}");
+    cJSON *a = workers_stand_in_answer(here, o), *orders = cJSON_GetObjectItemCaseSensitive(a, "orders");
+    assert_int_equal(base_num(a, "fence", 0), 70);
+    assert_int_equal(cJSON_GetArraySize(orders), 1); /* the cancelled one ends, nothing else is ordered */
+    assert_string_equal(base_str(cJSON_GetArrayItem(orders, 0), "verb"), "stop");
+    assert_string_equal(base_str(cJSON_GetArrayItem(orders, 0), "task"), "req-10005/0");
+    cJSON_Delete(a);
+    cJSON_Delete(o);
+    struct settings short_of = cfg;
+    short_of.cancel = base_span(base_secs(cfg.lease) + 1);
+    membership_init(&short_of); /* a look as old as this is no longer good */
+    assert_false(workers_stand_in(here));
+    store_unlock();
+    standin_state_trouble(STANDIN_NONE);
+}
+
 int main(void) {
     char err[256];
     char *text = site_with(SITE_JSON, "127.0.0.1:18084", "127.0.0.1:18185");
@@ -314,6 +370,8 @@
     records_init(&cfg);
     bookings_init(&cfg);
     rounds_init(&cfg);
+    watch_init(&cfg);
+    peers_init(&cfg);
     store_mirror_start();
     membership_start();
     for (int i = 0; i < 100; i++) {
@@ -330,6 +388,7 @@
                                        cmocka_unit_test(cancelled_under_old_token),
                                        cmocka_unit_test(late_copies),
                                        cmocka_unit_test(first_answer),
-                                       cmocka_unit_test(out_of_reach)};
+                                       cmocka_unit_test(out_of_reach),
+                                       cmocka_unit_test(stands_in)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
