Mass failures are found by asking all; gangs find whole machines; workers' sockets are bounded

Machines that hang or die together were known after 14 s of silence at 8 s reports. The first that fails to answer a question now has all asked; two questions unanswered and 5 s of silence tell (not where a cut of the zone would show later than that, not if our own look was late). Half as many machines again: a controller reached all its 2,126 sockets after all had ended. Answers to workers close their connection once half of the server's are in use; clients keep 4; the process's limit of open files is raised.

--- a/src/base/base.h
+++ b/src/base/base.h
@@ -51,6 +51,8 @@
 const char *http_path(const struct http_req *r);
 const char *http_body(const struct http_req *r, size_t *len);
 bool http_too_large(const struct http_req *r);
+void http_passing(struct http_req *r); /* one of very many: its connection need not be kept */
+bool http_crowded(unsigned connections, unsigned most);
 void http_hold(struct http_req *r);
 void http_reply(struct http_req *r, unsigned status, const char *body, int retry_after_s);
 void http_reply_json(struct http_req *r, unsigned status, cJSON *body, int retry_after_s); /* takes body */
--- a/src/base/http.c
+++ b/src/base/http.c
@@ -11,6 +11,7 @@
 
 struct http_server {
     struct MHD_Daemon *daemon;
+    unsigned most;
     http_handler fn;
     void *ctx;
 };
@@ -20,6 +21,8 @@
     char *method, *path;
     GString *body;
     bool too_large, dispatched, held, ready;
+    struct http_server *server;
+    bool passing; /* its connection is closed when connections grow scarce */
     unsigned status;
     char *answer;
     int retry_after_s;
@@ -39,6 +42,10 @@
     MHD_suspend_connection(r->conn);
 }
 
+void http_passing(struct http_req *r) { r->passing = true; }
+
+bool http_crowded(unsigned connections, unsigned most) { return connections * 2 > most; }
+
 void http_reply(struct http_req *r, unsigned status, const char *body, int retry_after_s) {
     r->status = status;
     r->answer = g_strdup(body ? body : "{}");
@@ -62,6 +69,10 @@
         g_snprintf(t, sizeof t, "%d", r->retry_after_s);
         MHD_add_response_header(resp, "Retry-After", t);
     }
+    /* Workers by the thousand must not shut out health checks and users, who come by the same address. */
+    const union MHD_DaemonInfo *now = MHD_get_daemon_info(r->server->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    if (r->passing && now && http_crowded(now->num_connections, r->server->most))
+        MHD_add_response_header(resp, "Connection", "close");
     enum MHD_Result rc = MHD_queue_response(r->conn, r->status, resp);
     MHD_destroy_response(resp);
     return rc;
@@ -75,6 +86,7 @@
     if (!r) {
         r = g_new0(struct http_req, 1);
         r->conn = conn;
+        r->server = s;
         r->method = g_strdup(method);
         r->path = g_strdup(url);
         r->body = g_string_sized_new(512);
@@ -125,6 +137,7 @@
     struct http_server *s = g_new0(struct http_server, 1);
     s->fn = fn;
     s->ctx = ctx;
+    s->most = max_connections;
     /* One epoll thread with suspended connections: a thread a connection would not fit the memory. */
     s->daemon = MHD_start_daemon(MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, (uint16_t)port, NULL, NULL,
                                  on_request, s, MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&sa,
@@ -167,7 +180,7 @@
     curl_easy_setopt(c->curl, CURLOPT_WRITEFUNCTION, on_data);
     curl_easy_setopt(c->curl, CURLOPT_WRITEDATA, c->in);
     curl_easy_setopt(c->curl, CURLOPT_PROXY, "");
-    curl_easy_setopt(c->curl, CURLOPT_MAXCONNECTS, 24L);
+    curl_easy_setopt(c->curl, CURLOPT_MAXCONNECTS, 4L);
     curl_easy_setopt(c->curl, CURLOPT_BUFFERSIZE, 16384L);
     return c;
 }
--- a/src/records/records.c
+++ b/src/records/records.c
@@ -197,7 +197,7 @@
     m->unknown = m->need_raise = m->draining = m->want_return = m->dead = m->answered = false;
     m->pass_to = -1;
     m->seen_fence = m->ordered_tenure = 0;
-    m->ignored = 0;
+    m->ignored = m->unanswered = 0;
     m->up = m->bookings->len > 0;
     m->rows = 0;
     m->hello = m->kick = m->address[0] != 0;
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -55,6 +55,7 @@
     bool sending, need_raise, kick, hello;
     int64_t
         ordered_tenure; /* the latest session of it in which an answer to a report carried our run orders; 0: none */
+    int unanswered;     /* questions in a row that it did not answer since it was heard */
     bool answered;      /* its last report got a 200 under the token it should show by now */
     int ignored;        /* reports in a row that show nothing of what we answered */
     bool unwritten;     /* its address is known, but not on record */
@@ -88,6 +89,7 @@
     int64_t next; /* counter of attempts under this fence */
     bool barrier; /* a transaction's outcome is unknown: nothing more before the share's stamp has moved */
     struct timespec since, passed, tidied;
+    struct timespec alarm; /* when a machine last failed to answer for the first time */
     bool fit_nowhere;
 };
 extern struct records_share records_shares[RECORDS_SHARES];
--- a/src/renting/renting.c
+++ b/src/renting/renting.c
@@ -99,6 +99,32 @@
     }
 }
 
+/* The design's weak point: headroom is a sum, so scattered pieces starve gangs while no rental fires. A share that runs
+ * gangs keeps one whole machine in SPARE_IN, there or booting, beyond what waits; as few as drain at a time. */
+#define SPARE_IN 7
+#define SPARE_S 100 /* for so long after the last of them came */
+static void rent_spares(int k, GArray *vms, const GArray *order, int steady, int most) {
+    struct job *like = NULL;
+    for (guint i = 0; i < order->len && !like; i++) {
+        struct job *j = g_array_index(order, struct rounds_ranked, i).j;
+        if (j->spec.shape == JOB_GROUP && !j->spec.reclaimable && base_time_of_day() - j->submitted < SPARE_S) like = j;
+    }
+    int whole = 0;
+    for (guint y = 0; y < vms->len; y++) {
+        const struct renting_vm *v = &g_array_index(vms, struct renting_vm, y);
+        const struct flavour_info *f = cloud_flavour(v->o.sku);
+        whole += f && !v->foreign && !v->o.spot && v->cpu >= f->vcpus - 1e-6 && v->gpu >= f->gpus - 1e-6;
+    }
+    for (int n = MIN(steady / SPARE_IN - whole, most); like && n > 0; n--) {
+        struct rent_order o;
+        memset(&o, 0, sizeof o);
+        if (!choose(k, like, NULL, true, &o)) return;
+        renting_vm_add(vms, o.sku, o.site, o.spot);
+        g_array_index(vms, struct renting_vm, vms->len - 1).o.weight = 1;
+        if (zone_of(o.site)) ++*zone_of(o.site);
+    }
+}
+
 static void rent_for_share(int k, struct rent_order *out, int most, int *n) {
     GArray *vms = g_array_new(FALSE, FALSE, sizeof(struct renting_vm));
     int have = 0, fresh = 0, steady = 0;
@@ -233,6 +259,7 @@
         if (like && (!lone || occ > cfg->tuning.reception) && choose(k, like, NULL, true, &o))
             renting_vm_add(vms, o.sku, o.site, o.spot);
     }
+    rent_spares(k, vms, order, steady, have + fresh < cap ? cap - have - fresh : 0);
     for (guint y = first_new; y < vms->len; y++) {
         struct rent_order *o = &g_array_index(vms, struct renting_vm, y).o;
         int i;
--- a/src/service/service.c
+++ b/src/service/service.c
@@ -2,6 +2,7 @@
 #include "service.h"
 
 #include <string.h>
+#include <sys/resource.h>
 
 #include "../bookings/bookings.h"
 #include "../cloud/cloud.h"
@@ -56,7 +57,18 @@
     watch_init(s);
 }
 
+/* The platform's limit is the one to keep to: the process's own may be far lower by default. */
+static void raise_open_files(int sockets) {
+    struct rlimit now;
+    rlim_t want = (rlim_t)sockets + 64;
+    if (getrlimit(RLIMIT_NOFILE, &now) != 0 || now.rlim_cur >= want) return;
+    now.rlim_cur = now.rlim_max == RLIM_INFINITY ? want : MIN(want, now.rlim_max);
+    if (setrlimit(RLIMIT_NOFILE, &now) != 0 || now.rlim_cur < (rlim_t)sockets)
+        log_info("open files are limited to %ld, below the %d sockets of the settings", (long)now.rlim_cur, sockets);
+}
+
 bool service_start(const struct settings *s) {
+    raise_open_files(s->sockets);
     jobs_start();
     if (!http_serve(s->bind, (unsigned)s->sockets * 3 / 4, on_request, NULL) || !peers_start()) return false;
     store_mirror_start();
--- a/src/watch/watch.c
+++ b/src/watch/watch.c
@@ -11,6 +11,9 @@
 
 static const struct settings *cfg;
 
+#define ALARM_S 4.0      /* how long a first failure to answer makes us ask all */
+#define UNANSWERED_S 5.0 /* silence that counts if questions went unanswered */
+
 /* Reports come up to a quarter late; then a machine is asked directly, a few times. Shorter than that, healthy machines
  * that report every 8 s were returned by the hundred. */
 static double silent_limit(void) {
@@ -135,15 +138,27 @@
         if (records_leaving(m)) continue;
         int z = settings_zone(cfg, m->site);
         bool cut = z >= 0 && zone_cut[k][z];
-        /* Of a cut zone a few are asked, in turn: each that does not answer costs a sender its time limit. */
-        double again = cut ? MAX(1.5, zones[z].up / 4.0) : 1.5;
-        if (m->up && base_since(m->heard) > base_secs(cfg->report) * 1.25 + 0.4 && base_since(m->probed) > again) {
+        /* Of a cut zone a few are asked, in turn: each that does not answer costs a sender its time limit. Where one
+         * has just failed to answer, all are asked: what took it may have taken a hundred at once. */
+        double again = cut ? MAX(1.5, zones[z].up / 4.0) : 1.5,
+               quiet = base_since(records_shares[k].alarm) < ALARM_S ? ALARM_S / 2 : base_secs(cfg->report) * 1.1;
+        if (m->up && base_since(m->heard) > quiet && base_since(m->probed) > again) {
             /* Asked directly, so that silence is not just a report on its way round the controllers. */
             m->probed = base_now();
             m->hello = true;
         }
         bool silent =
             base_since(m->heard) > silent_limit() || base_since(m->reported) > base_secs(cfg->lease) + silent_limit();
+        /* Two questions without an answer tell it sooner; only where a cut of the whole zone would have shown before.
+         */
+        if (m->unanswered >= 2 && base_since(m->heard) > UNANSWERED_S && z >= 0 &&
+            watch_zone_silence(zones[z].up, base_secs(cfg->report)) < UNANSWERED_S - 1)
+            silent = true;
+        /* Its replicas will start elsewhere soon: what they need may boot meanwhile. */
+        for (guint b = 0; m->up && m->unanswered && !cut && b < m->bookings->len; b++) {
+            struct booking *x = m->bookings->pdata[b];
+            x->job->at_risk += !x->over && x->job->spec.shape == JOB_STANDING;
+        }
         /* It reports, but nothing of what we answer reaches it: its lease runs out though it is not silent. */
         if (m->up && m->ignored >= 3) {
             log_info("machine %s: its reports arrive, our answers don't reach it; returning it", m->id);
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -9,8 +9,9 @@
 #include "../peers/peers.h"
 #include "../rounds/rounds.h"
 
-#define SENDERS 24
-#define PROBERS 16 /* of them: an address that hangs costs one its time limit, and many hang at once */
+#define SENDERS 44
+#define PROBERS 32     /* of them: an address that hangs costs one its time limit, and many hang at once */
+#define ANSWER_MS 1500 /* how long a worker may take to answer */
 
 static const struct settings *cfg;
 static struct base_bell bell;
@@ -119,6 +120,7 @@
     }
     m->seen_fence = fence;
     m->heard = base_now();
+    m->unanswered = 0;
     /* The first answer may be to a question of ours, long after it was rented: its reports are due from now on. One in
      * sixteen machines was once returned the moment it came up, for not having reported. */
     if (checkin || !m->up) m->reported = m->heard;
@@ -336,6 +338,7 @@
 
 bool workers_route(struct http_req *r) {
     if (strcmp(http_path(r), "/checkin") != 0) return false;
+    http_passing(r);
     if (strcmp(http_method(r), "POST") != 0)
         http_reply(r, 405, NULL, 0);
     else
@@ -404,19 +407,24 @@
         cJSON *a = NULL;
         if (!l->body) {
             snprintf(url, sizeof url, "http://%s/inspect", l->address);
-            if (http_call(c, "GET", url, NULL, 1500, &status, &a) == HTTP_ANSWERED && status == 200)
+            if (http_call(c, "GET", url, NULL, ANSWER_MS, &status, &a) == HTTP_ANSWERED && status == 200)
                 stranger_answer(l, a);
             cJSON_Delete(a);
             g_free(l);
             continue;
         }
         snprintf(url, sizeof url, "http://%s/commands", l->address);
-        enum http_outcome out = http_call(c, "POST", url, l->body, 1500, &status, &a);
+        struct timespec sent = base_now();
+        enum http_outcome out = http_call(c, "POST", url, l->body, ANSWER_MS, &status, &a);
+        /* A controller that stood still or is short of its processor time learns nothing from a late look. */
+        bool in_time = base_since(sent) < ANSWER_MS / 1000.0 + 0.3;
         store_lock();
         struct machine *m = records_find(l->id);
         if (m && m->sending) {
             m->sending = false;
             bool same = records_mine(m) && m->owned_fence == l->owned;
+            if (same && out != HTTP_ANSWERED && in_time && m->unanswered++ == 0)
+                records_shares[m->share].alarm = base_now();
             if (out == HTTP_ANSWERED && (status == 200 || status == 409)) {
                 if (same && m->unknown_fence == l->fence && m->unknown_tenure == l->tenure) m->unknown = false;
                 if (same && a) workers_report(m, a, false);
@@ -448,7 +456,9 @@
         if ((!m->kick && !m->hello) || !records_mine(m)) continue;
         if (!m->address[0] || m->sending || m->unknown || m->dead || (!m->up && !m->hello)) continue;
         if (!membership_verified()) continue;
-        bool hello = m->hello;
+        /* One that has just failed to answer is asked before it is ordered anything: orders to a hundred that hang at
+         * once would hold up everybody's. */
+        bool hello = m->hello || m->unanswered > 0;
         m->hello = m->kick = false;
         if (!hello && m->seen_fence < records_token(m)) hello = true;
         cJSON *orders = hello ? cJSON_CreateArray() : workers_orders(m, true);
