Spares tested; the cap a share and the orders planned hold for a team with a whole fleet

A share was capped at 1,000 machines: one team of aria holds 790 now, and would hold 1,180 at half as much again.

--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -11,6 +11,8 @@
 #include "../rounds/rounds.h"
 
 #define FLAVOURS_MOST 64
+#define ORDERS_MOST \
+    128 /* by share, type, zone and kind; one controller may own all shares. Those beyond come next time */
 
 static const struct settings *cfg;
 static struct flavour_info flavours[FLAVOURS_MOST];
@@ -285,7 +287,7 @@
         }
         if (!n_flavours) continue;
         char ids[100][64];
-        struct rent_order orders[16];
+        struct rent_order orders[ORDERS_MOST];
         int busy, wants = 0;
         store_lock();
         int back = renting_return_plan(ids, 100, &busy);
@@ -297,7 +299,7 @@
         /* Returns are few calls for many machines; they must not wait for rentals without end, and tasks that can start
          * elsewhere only once their silent machine is returned wait for nothing. */
         bool back_first = busy || back >= 20 || (back && base_since(returned) > 12);
-        if (!pending.open && !back_first && !list_first) wants = renting_plan(orders, 16);
+        if (!pending.open && !back_first && !list_first) wants = renting_plan(orders, ORDERS_MOST);
         store_unlock();
         if (back && (back_first || !(pending.open || wants || list_first))) {
             give_back(c, ids, back);
--- a/src/rounds/rounds_test.c
+++ b/src/rounds/rounds_test.c
@@ -234,6 +234,48 @@
     store_unlock();
 }
 
+/* A share to which gangs come keeps one whole machine in seven beyond what waits. */
+static void spares(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        int busy, empty, gang_age, want;
+    } rows[] = {
+        {"all are taken", 14, 0, 30, 2},
+        {"two are whole", 14, 2, 30, 0},
+        {"one is", 20, 1, 30, 2},
+        {"no gang came lately", 14, 0, 500, 0},
+        {"too few machines to keep any", 5, 0, 30, 0},
+    };
+    store_lock();
+    records_shares[0].since = (struct timespec){0, 0};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct machine *all[32];
+        char id[32], one[32], two[32];
+        g_snprintf(one, sizeof one, "req-6100%zu", i);
+        g_snprintf(two, sizeof two, "req-6200%zu", i);
+        int total = rows[i].busy + rows[i].empty, machines = 0;
+        for (int n = 0; n < total; n++) {
+            g_snprintf(id, sizeof id, "i-8%03d", n);
+            all[n] = machine(id, zones[n % 3], false);
+        }
+        struct job *gang = job(one, "group", "high", 1, 14, 2, true, false, rows[i].gang_age);
+        struct job *rest = job(two, "standing", "high", rows[i].busy - 1, 14, 2, false, false, 600);
+        book(gang, all, 1);
+        book(rest, all + 1, rows[i].busy - 1);
+        rounds_round_free(rounds_decide(0, 20));
+        struct rent_order out[16];
+        int n = renting_plan(out, 16);
+        for (int o = 0; o < n; o++) machines += out[o].spot ? 1000 : out[o].count;
+        clear();
+        if (machines != rows[i].want) {
+            store_unlock();
+            fail_msg("%s: %d", rows[i].what, machines);
+        }
+    }
+    store_unlock();
+}
+
 /* A fleet of 2,000 machines and the matching jobs: what a round looks at is what waits and where there is room, counted
  * in looks, not in time. */
 static void fleet(void **state) {
@@ -334,7 +376,8 @@
         "{\"flavours\":[{\"sku\":\"g16\",\"vcpus\":16,\"gpus\":2,\"memory_gb\":64,\"hourly\":7,\"market_price\":2,"
         "\"startup_s\":25,\"sites\":[\"za\",\"zb\",\"zc\"]}]}");
     store_unlock();
-    const struct CMUnitTest tests[] = {cmocka_unit_test(gangs), cmocka_unit_test(waiting_bound),
-                                       cmocka_unit_test(budget), cmocka_unit_test(rentals), cmocka_unit_test(fleet)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(gangs),  cmocka_unit_test(waiting_bound),
+                                       cmocka_unit_test(budget), cmocka_unit_test(rentals),
+                                       cmocka_unit_test(spares), cmocka_unit_test(fleet)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -16,7 +16,7 @@
     .silent_return = {8, 0},
     .node_lease = {2, 500000000},
     .watch_gap = {0, 80000000},
-    .machines_per_share = 1000,
+    .machines_per_share = 5000, /* one team may hold nearly all of a fleet, with room for one twice as large */
     .dear_backlog = 1.5,
 };
 
--- a/src/store/store_test.c
+++ b/src/store/store_test.c
@@ -138,6 +138,17 @@
     close(fd);
 }
 
+/* Workers' connections are closed while there is still room for everybody else. */
+static void crowded(void **state) {
+    (void)state;
+    static const struct {
+        unsigned open, most;
+        bool want;
+    } rows[] = {{0, 1594, false}, {797, 1594, false}, {798, 1594, true}, {1594, 1594, true}, {1, 1, true}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+        assert_int_equal(http_crowded(rows[i].open, rows[i].most), rows[i].want);
+}
+
 int main(void) {
     char err[256];
     char *text = site_with(SITE_JSON, "127.0.0.1:18084", "127.0.0.1:18184");
@@ -147,6 +158,7 @@
     store_observe("z/", count_applied);
     c = http_client_new();
     const struct CMUnitTest tests[] = {cmocka_unit_test(results), cmocka_unit_test(late_transaction),
-                                       cmocka_unit_test(mirror), cmocka_unit_test(sent_or_not)};
+                                       cmocka_unit_test(mirror), cmocka_unit_test(sent_or_not),
+                                       cmocka_unit_test(crowded)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
