--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -348,6 +348,7 @@
 };
 static struct lane lanes[2];
 #define ASKS_MOST 400
+#define POLL_S 2.0 /* users wait no longer for the answer to a poll */
 
 static pthread_mutex_t latency_lock = PTHREAD_MUTEX_INITIALIZER;
 static gsl_histogram *latency; /* of log10 of milliseconds, from 0.1 ms to 100 s */
@@ -558,6 +559,9 @@
             struct ask *a = batch->pdata[i];
             if (rc != STORE_OK && rc != STORE_CONFLICT) {
                 refuse(a->req, 503, "the state service is out of reach", 2);
+            } else if (base_since(a->came) > POLL_S) {
+                /* We stood still or are far behind: what was confirmed may be old by now. */
+                refuse(a->req, 503, "the answer took too long", 1);
             } else {
                 /* After a conflict the failed keys were read again, at a revision after the question came. A read
                  * that failed leaves the older record: then it is not known, so not told. */
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -52,7 +52,7 @@
     struct timespec warned;
     bool unknown; /* a direct command's outcome is not known */
     int64_t unknown_fence, unknown_tenure;
-    bool sending, need_raise, kick, hello;
+    bool sending, asking, need_raise, kick, hello; /* asking: what is being sent carries no orders */
     int64_t
         ordered_tenure; /* the latest session of it in which an answer to a report carried our run orders; 0: none */
     int unanswered;     /* questions in a row that it did not answer since it was heard */
--- a/src/rounds/rounds_test.c
+++ b/src/rounds/rounds_test.c
@@ -276,6 +276,76 @@
     store_unlock();
 }
 
+static void ago(struct machine *m, double s) {
+    m->heard = m->reported = base_wall_in(base_span(0));
+    m->heard.tv_sec -= (time_t)s;
+    m->reported.tv_sec -= (time_t)s;
+}
+
+/* Which of the machines that are not heard are given back: one alone, one in a cut zone, one whose zone is just back.
+ */
+static void silence(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        int here, there; /* machines in za and in zb */
+        int silent;      /* of those in za */
+        double s;
+        int unanswered;
+        bool booked, seen;
+        int want; /* given back */
+    } rows[] = {
+        {"two questions unanswered", 30, 30, 1, 6, 2, true, true, 1},
+        {"one question unanswered", 30, 30, 1, 6, 1, true, true, 0},
+        {"not silent for long", 30, 30, 1, 4, 2, true, true, 0},
+        {"a zone of few: its cut would not show before", 4, 30, 1, 6, 2, true, true, 0},
+        {"silent beyond the limit", 4, 30, 1, 9, 0, true, true, 1},
+        {"a third of a zone at once", 30, 30, 10, 6, 2, true, true, 10},
+        {"a whole zone: it is cut, and its tasks run on", 30, 30, 30, 15, 9, true, true, 0},
+        {"a cut zone, and nothing of what was ordered there was seen", 30, 30, 30, 15, 9, true, false, 30},
+        {"a cut zone, idle machines", 30, 30, 30, 15, 9, false, false, 0},
+        {"a cut zone, past the time for which its tasks live", 30, 30, 30, 45, 9, true, true, 30},
+        {"all zones: it is us", 30, 0, 30, 15, 9, true, true, 0},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct machine *all[64];
+        char id[32], uid[32];
+        int total = rows[i].here + rows[i].there, back = 0;
+        store_lock();
+        for (int n = 0; n < total; n++) {
+            g_snprintf(id, sizeof id, "i-7%zu%03d", i, n);
+            all[n] = machine(id, n < rows[i].here ? "za" : "zb", false);
+        }
+        g_snprintf(uid, sizeof uid, "req-7100%02zu", i);
+        struct job *j = job(uid, "batch", "high", rows[i].silent, 1, 1, false, false, 100);
+        if (rows[i].booked) book(j, all, rows[i].silent);
+        for (int n = 0; n < rows[i].silent; n++) {
+            ago(all[n], rows[i].s);
+            all[n]->unanswered = rows[i].unanswered;
+            for (guint b = 0; b < all[n]->bookings->len; b++)
+                ((struct booking *)all[n]->bookings->pdata[b])->seen = rows[i].seen;
+        }
+        int up, heard, reported;
+        watch_count_heard(&up, &heard, &reported);
+        watch_machines(0, up, heard);
+        for (int n = 0; n < total; n++) back += all[n]->want_return;
+        /* The zone's first machine is heard again: the others get the time to be. */
+        bool grace = true;
+        if (rows[i].silent == rows[i].here && rows[i].there && rows[i].seen && rows[i].want == 0) {
+            all[0]->heard = all[0]->reported = base_now();
+            watch_machines(0, up, heard);
+            for (int n = 0; n < total; n++) grace &= !all[n]->want_return;
+        }
+        for (int n = 0; n < total; n++) all[n]->want_return = false;
+        clear();
+        store_unlock();
+        if (back != rows[i].want) fail_msg("%s: %d", rows[i].what, back);
+        if (!grace) fail_msg("%s: returned when the zone was back", rows[i].what);
+        /* What the watch remembers of zones must not reach into the next row. */
+        watch_init(&cfg);
+    }
+}
+
 /* A fleet of 2,000 machines and the matching jobs: what a round looks at is what waits and where there is room, counted
  * in looks, not in time. */
 static void fleet(void **state) {
@@ -376,8 +446,8 @@
         "{\"flavours\":[{\"sku\":\"g16\",\"vcpus\":16,\"gpus\":2,\"memory_gb\":64,\"hourly\":7,\"market_price\":2,"
         "\"startup_s\":25,\"sites\":[\"za\",\"zb\",\"zc\"]}]}");
     store_unlock();
-    const struct CMUnitTest tests[] = {cmocka_unit_test(gangs),  cmocka_unit_test(waiting_bound),
-                                       cmocka_unit_test(budget), cmocka_unit_test(rentals),
-                                       cmocka_unit_test(spares), cmocka_unit_test(fleet)};
+    const struct CMUnitTest tests[] = {
+        cmocka_unit_test(gangs),  cmocka_unit_test(waiting_bound), cmocka_unit_test(budget), cmocka_unit_test(rentals),
+        cmocka_unit_test(spares), cmocka_unit_test(silence),       cmocka_unit_test(fleet)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/watch/watch.c
+++ b/src/watch/watch.c
@@ -201,4 +201,8 @@
     }
 }
 
-void watch_init(const struct settings *s) { cfg = s; }
+void watch_init(const struct settings *s) {
+    cfg = s;
+    memset(zone_cut, 0, sizeof zone_cut);
+    memset(zone_back, 0, sizeof zone_back);
+}
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -11,6 +11,7 @@
 
 #define SENDERS 44
 #define PROBERS 32     /* of them: an address that hangs costs one its time limit, and many hang at once */
+#define ORDER_S 3.0    /* how old a decision to start a task may be when it is sent */
 #define ANSWER_MS 1500 /* how long a worker may take to answer */
 
 static const struct settings *cfg;
@@ -18,6 +19,10 @@
 
 void workers_kick(void) { base_bell_ring(&bell); }
 
+/* A letter that may carry starts is on its way. One that only asks does not count: a machine whose last start is in
+ * doubt is asked all the same, else those that hang with a start in doubt were found 5 s later than the others. */
+static bool start_on_its_way(const struct machine *m) { return m->sending && !m->asking; }
+
 static enum task_state state_of(const char *s) {
     static const char *const names[] = {"", "fetching", "gathering", "running", "flushing", "ended"};
     for (int i = 1; i < 6; i++)
@@ -134,7 +139,7 @@
     } else {
         m->warning = -1;
     }
-    if (m->unknown && !m->sending && (fence > m->unknown_fence || tenure > m->unknown_tenure)) {
+    if (m->unknown && !start_on_its_way(m) && (fence > m->unknown_fence || tenure > m->unknown_tenure)) {
         m->unknown = false;
         m->need_raise = false;
     }
@@ -180,7 +185,7 @@
         struct booking *b = m->bookings->pdata[i];
         if (listed[i] || b->over) continue;
         /* Not on the machine; gone only if nothing is under way. */
-        if (m->unknown || m->sending) continue;
+        if (m->unknown || start_on_its_way(m)) continue;
         bool gang_lost = b->job->spec.shape == JOB_GROUP && base_since(b->booked) > 2 * base_secs(cfg->report);
         if (b->seen || b->stop || b->inherited || gang_lost) {
             log_info("task %s/%d try %lld is gone from machine %s", b->job->spec.uid, b->task, (long long)b->attempt,
@@ -318,7 +323,7 @@
         } else {
             bool newest = workers_report(m, o, true);
             if (newest && fence >= records_token(m)) records_row(m);
-            if (m->unknown && !m->sending && records_token(m) <= m->unknown_fence) {
+            if (m->unknown && !start_on_its_way(m) && records_token(m) <= m->unknown_fence) {
                 /* A command may still be on its way: this machine's lease is renewed under a higher token only. */
                 m->need_raise = true;
                 rounds_kick();
@@ -362,8 +367,15 @@
     char *body;
     bool has_run;
     int64_t fence, tenure, owned;
+    struct timespec decided;
 };
 
+/* A controller that stood still between decision and sending, or whose queue is long, does not send what it decided
+ * then: a start may have been given up meanwhile, or its job cancelled. */
+bool workers_still_good(bool has_run, double age_s, bool ours, bool verified) {
+    return !has_run || (age_s < ORDER_S && ours && verified);
+}
+
 static void post(struct job_queue *q, struct letter *l) {
     pthread_mutex_lock(&q->lock);
     g_queue_push_tail(q->q, l);
@@ -415,7 +427,12 @@
         }
         snprintf(url, sizeof url, "http://%s/commands", l->address);
         struct timespec sent = base_now();
-        enum http_outcome out = http_call(c, "POST", url, l->body, ANSWER_MS, &status, &a);
+        store_lock();
+        struct machine *to = records_find(l->id);
+        bool good = workers_still_good(l->has_run, base_since(l->decided),
+                                       to && records_mine(to) && to->owned_fence == l->owned, membership_verified());
+        store_unlock();
+        enum http_outcome out = good ? http_call(c, "POST", url, l->body, ANSWER_MS, &status, &a) : HTTP_NOT_SENT;
         /* A controller that stood still or is short of its processor time learns nothing from a late look. */
         bool in_time = base_since(sent) < ANSWER_MS / 1000.0 + 0.3;
         store_lock();
@@ -423,21 +440,19 @@
         if (m && m->sending) {
             m->sending = false;
             bool same = records_mine(m) && m->owned_fence == l->owned;
-            if (same && out != HTTP_ANSWERED && in_time && m->unanswered++ == 0)
+            if (same && good && out != HTTP_ANSWERED && in_time && m->unanswered++ == 0)
                 records_shares[m->share].alarm = base_now();
-            if (out == HTTP_ANSWERED && (status == 200 || status == 409)) {
-                if (same && m->unknown_fence == l->fence && m->unknown_tenure == l->tenure) m->unknown = false;
-                if (same && a) workers_report(m, a, false);
-                /* It has the token now: what waited for that need not wait for its next report. */
-                if (same && !l->has_run) m->kick = true;
-            } else if (out == HTTP_NOT_SENT) {
-                if (same && m->unknown_fence == l->fence && m->unknown_tenure == l->tenure) m->unknown = false;
-            } else if (!l->has_run) {
-                /* A late stop or forget harms nobody: attempts are unique. */
-                if (same && m->unknown_fence == l->fence && m->unknown_tenure == l->tenure) m->unknown = false;
-            } else if (same) {
-                log_info("machine %s: a command's outcome is not known, raising its token", m->id);
+            bool answered = out == HTTP_ANSWERED && (status == 200 || status == 409);
+            /* Only a start's outcome matters: a late stop or forget harms nobody, attempts are unique. */
+            if (same && l->has_run) {
+                if (!answered && out != HTTP_NOT_SENT)
+                    log_info("machine %s: a command's outcome is not known, raising its token", m->id);
+                else if (m->unknown_fence == l->fence && m->unknown_tenure == l->tenure)
+                    m->unknown = false;
             }
+            if (same && answered && a) workers_report(m, a, false);
+            /* It has the token now: what waited for that need not wait for its next report. */
+            if (same && (!good || (answered && !l->has_run))) m->kick = true;
         }
         store_unlock();
         if (q == &probes) workers_kick();
@@ -454,7 +469,7 @@
     for (guint i = 0; i < ms->len; i++) {
         struct machine *m = ms->pdata[i];
         if ((!m->kick && !m->hello) || !records_mine(m)) continue;
-        if (!m->address[0] || m->sending || m->unknown || m->dead || (!m->up && !m->hello)) continue;
+        if (!m->address[0] || m->sending || (m->unknown && !m->hello) || m->dead || (!m->up && !m->hello)) continue;
         if (!membership_verified()) continue;
         /* One that has just failed to answer is asked before it is ordered anything: orders to a hundred that hang at
          * once would hold up everybody's. */
@@ -474,6 +489,7 @@
         l->fence = records_token(m);
         l->tenure = m->tenure > 0 ? m->tenure : 1;
         l->owned = m->owned_fence;
+        l->decided = base_now();
         cJSON *o = cJSON_CreateObject();
         cJSON_AddNumberToObject(o, "fence", (double)l->fence);
         cJSON_AddNumberToObject(o, "tenure", (double)l->tenure);
@@ -481,10 +497,12 @@
         l->body = cJSON_PrintUnformatted(o);
         cJSON_Delete(o);
         m->sending = true;
-        /* A late stop or forget harms nobody: attempts are unique. */
-        m->unknown = l->has_run;
-        m->unknown_fence = l->fence;
-        m->unknown_tenure = l->tenure;
+        m->asking = hello;
+        if (l->has_run) {
+            m->unknown = true;
+            m->unknown_fence = l->fence;
+            m->unknown_tenure = l->tenure;
+        }
         post(hello ? &probes : &outbox, l);
     }
     store_unlock();
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -10,6 +10,9 @@
 bool workers_stand_in(const struct machine *m); /* with store_lock held: answer for an owner that the zone lost */
 cJSON *workers_stand_in_answer(struct machine *m, const cJSON *report);
 
+/* Pure: whether orders decided so long ago may still be sent. */
+bool workers_still_good(bool has_run, double age_s, bool ours, bool verified);
+
 /* With store_lock held. Takes in a report. checkin: false for the body of a direct command's answer, which proves
  * nothing about orders that may still travel in a report's answer. False: the report is older than what is known. */
 bool workers_report(struct machine *m, const cJSON *report, bool checkin);
--- a/src/workers/workers_test.c
+++ b/src/workers/workers_test.c
@@ -356,6 +356,50 @@
     standin_state_trouble(STANDIN_NONE);
 }
 
+/* What is on its way to the machine, and whether a report that does not list a seen task proves its end. */
+static void under_way(void **state) {
+    (void)state;
+    int64_t f = membership_share(0)->fence;
+    static const struct {
+        const char *what;
+        bool sending, asking, unknown, over;
+    } rows[] = {{"nothing", false, false, false, true},
+                {"a start", true, false, true, false},
+                {"a question only", true, true, false, true},
+                {"a question, and a start in doubt from before", true, true, true, false}};
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        store_lock();
+        struct machine *m = fresh("i-000970", 0, "req-10001", BOOKED("i-000970"), false);
+        struct booking *b = m->bookings->pdata[0];
+        report(m, 1, 1, f, T("running"), true);
+        m->sending = rows[i].sending;
+        m->asking = rows[i].asking;
+        m->unknown = rows[i].unknown;
+        m->unknown_fence = f;
+        m->unknown_tenure = 1;
+        report(m, 1, 2, f, "", true);
+        bool over = b->over;
+        away("req-10001");
+        store_unlock();
+        if (over != rows[i].over) fail_msg("%s: %d", rows[i].what, over);
+    }
+}
+
+/* Orders of a controller that stood still. */
+static void stood_still(void **state) {
+    (void)state;
+    static const struct {
+        bool run;
+        double age;
+        bool ours, verified, want;
+    } rows[] = {
+        {true, 0.1, true, true, true},   {true, 40, true, true, false},   {true, 0.1, false, true, false},
+        {true, 0.1, true, false, false}, {false, 40, false, false, true}, /* a stop or a token harms nobody */
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+        assert_int_equal(workers_still_good(rows[i].run, rows[i].age, rows[i].ours, rows[i].verified), rows[i].want);
+}
+
 int main(void) {
     char err[256];
     char *text = site_with(SITE_JSON, "127.0.0.1:18084", "127.0.0.1:18185");
@@ -389,6 +433,8 @@
                                        cmocka_unit_test(late_copies),
                                        cmocka_unit_test(first_answer),
                                        cmocka_unit_test(out_of_reach),
-                                       cmocka_unit_test(stands_in)};
+                                       cmocka_unit_test(under_way),
+                                       cmocka_unit_test(stands_in),
+                                       cmocka_unit_test(stood_still)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/standin/fleet.c
+++ b/tests/standin/fleet.c
@@ -17,6 +17,8 @@
 struct worker {
     char id[32], address[32];
     bool alive, spot, muted;
+    int at; /* the controller it reports to */
+    struct timespec answered;
     int64_t tenure, seq, fence;
     GArray *tasks;
 };
@@ -24,7 +26,9 @@
 static struct worker workers[MOST];
 static int n_workers, returned, reused, starts, most;
 static bool mute;
-static const char *controller_url;
+static const char *controllers[4], *names[4];
+static int n_controllers;
+static double lease_s = 1e9;
 static GHashTable *claims; /* claim -> order text */
 
 static int running_now(const char *task) {
@@ -123,24 +127,51 @@
     http_reply_json(r, good ? 200 : 409, rep, 0);
 }
 
+/* A lease that ran out: all tasks are killed and a new session begins. */
+static void check_lease(struct worker *w) {
+    if (base_since(w->answered) < lease_s) return;
+    g_array_set_size(w->tasks, 0);
+    w->tenure++;
+    w->answered = base_now();
+}
+
+/* Where the next report goes, after an answer that was not 200. */
+static void turn(struct worker *w, long status, const cJSON *answer) {
+    const char *master = status == 421 ? base_str(answer, "master") : NULL;
+    int next = (w->at + 1) % n_controllers;
+    for (int i = 0; master && i < n_controllers; i++)
+        if (names[i] && strcmp(names[i], master) == 0) next = i;
+    w->at = next;
+}
+
 static void *worker_main(void *arg) {
     struct worker *w = arg;
     struct http_client *c = http_client_new();
     char url[96];
-    g_snprintf(url, sizeof url, "http://%s/checkin", controller_url);
     for (;;) {
         base_sleep(base_span(0.15));
         pthread_mutex_lock(&lock);
+        check_lease(w);
         bool quiet = mute || w->muted, alive = w->alive;
         cJSON *rep = report_of(w);
+        int64_t tenure = w->tenure;
+        g_snprintf(url, sizeof url, "http://%s/checkin", controllers[w->at]);
         pthread_mutex_unlock(&lock);
         char *text = cJSON_PrintUnformatted(rep);
         cJSON_Delete(rep);
         long status = 0;
         cJSON *a = NULL;
-        if (alive && !quiet && http_call(c, "POST", url, text, 1000, &status, &a) == HTTP_ANSWERED && status == 200) {
+        struct timespec sent = base_now();
+        if (alive && !quiet) {
+            bool got = http_call(c, "POST", url, text, 1000, &status, &a) == HTTP_ANSWERED;
+            int64_t fence = 0;
             pthread_mutex_lock(&lock);
-            obey(w, a);
+            if (got && status == 200 && tenure == w->tenure && base_int(a, "fence", &fence) && fence >= w->fence) {
+                w->answered = sent;
+                obey(w, a);
+            } else if (!got || status != 200) {
+                turn(w, status, a);
+            }
             pthread_mutex_unlock(&lock);
         }
         cJSON_Delete(a);
@@ -161,6 +192,7 @@
         g_snprintf(w->address, sizeof w->address, "127.0.0.1:%d", 18300 + n_workers);
         w->spot = base_flag(o, "reclaimable");
         w->alive = true;
+        w->answered = base_now();
         w->tenure = 1;
         w->tasks = g_array_new(FALSE, FALSE, sizeof(struct task));
         n_workers++;
@@ -220,11 +252,18 @@
 }
 
 bool standin_cloud_start(const char *address, const char *controller) {
-    controller_url = controller;
+    controllers[n_controllers++] = controller;
     claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     return http_serve(address, 16, on_cloud, NULL) != NULL;
 }
 
+void standin_workers_knows(const char *node, const char *controller) {
+    pthread_mutex_lock(&lock);
+    names[n_controllers] = node;
+    controllers[n_controllers++] = controller;
+    pthread_mutex_unlock(&lock);
+}
+
 #define SET(body)              \
     pthread_mutex_lock(&lock); \
     body;                      \
@@ -240,6 +279,7 @@
 int standin_cloud_claims_reused(void) { GET(reused) }
 void standin_workers_mute(bool all) { SET(mute = all) }
 void standin_workers_mute_one(int index) { SET(workers[index].muted = true) }
+void standin_workers_lease(double seconds) { SET(lease_s = seconds) }
 int standin_workers_running(const char *task) { GET(running_now(task)) }
 int standin_workers_most(void) { GET(most) }
 int standin_workers_starts(void) { GET(starts) }
--- a/tests/standin/fleet.h
+++ b/tests/standin/fleet.h
@@ -9,7 +9,9 @@
 int standin_cloud_returned(void);
 int standin_cloud_claims_reused(void); /* a claim used for two different orders */
 
-void standin_workers_mute(bool all); /* neither report nor answer */
+void standin_workers_knows(const char *node, const char *controller); /* one more controller to report to */
+void standin_workers_lease(double seconds);                           /* without it leases never end */
+void standin_workers_mute(bool all);                                  /* neither report nor answer */
 void standin_workers_mute_one(int index);
 int standin_workers_running(const char *task); /* on how many machines the task is now */
 int standin_workers_most(void);                /* the most machines that ever ran one task at the same time */
--- a/tests/standin/state.c
+++ b/tests/standin/state.c
@@ -15,7 +15,13 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static GTree *rows;
 static GPtrArray *events;
-static GHashTable *leases, *calls;
+static GHashTable *leases, *calls; /* lease -> struct lease; path -> calls */
+static bool door_shut;
+
+struct lease {
+    double ttl_s;
+    struct timespec renewed;
+};
 static int64_t epoch = 1, next_lease = 1;
 static enum standin_trouble trouble;
 
@@ -56,6 +62,34 @@
     return r ? r->stamp : 0;
 }
 
+struct keys_of {
+    int64_t lease;
+    GPtrArray *keys;
+};
+
+static gboolean collect(gpointer k, gpointer v, gpointer data) {
+    struct keys_of *c = data;
+    if (((struct row *)v)->lease == c->lease) g_ptr_array_add(c->keys, g_strdup(k));
+    return FALSE;
+}
+
+/* Leases that were not renewed in time end, and their keys with them. */
+static void end_leases(void) {
+    GHashTableIter it;
+    gpointer k, v;
+    g_hash_table_iter_init(&it, leases);
+    while (g_hash_table_iter_next(&it, &k, &v)) {
+        struct lease *l = v;
+        if (base_since(l->renewed) < l->ttl_s) continue;
+        struct keys_of c = {GPOINTER_TO_INT(k), g_ptr_array_new_with_free_func(g_free)};
+        g_tree_foreach(rows, collect, &c);
+        if (c.keys->len) epoch++;
+        for (guint i = 0; i < c.keys->len; i++) drop(c.keys->pdata[i]);
+        g_ptr_array_free(c.keys, TRUE);
+        g_hash_table_iter_remove(&it);
+    }
+}
+
 static unsigned multi(const cJSON *o, cJSON *out) {
     const cJSON *x, *then = cJSON_GetObjectItem(o, "then");
     cJSON *failed = cJSON_CreateArray();
@@ -120,7 +154,7 @@
 }
 
 static void on_request(struct http_req *r, void *ctx) {
-    (void)ctx;
+    bool second_door = ctx != NULL;
     const char *p = http_path(r);
     size_t len;
     cJSON *body = cJSON_ParseWithLength(http_body(r, &len), strlen(http_body(r, NULL))), *out = cJSON_CreateObject();
@@ -128,7 +162,8 @@
     pthread_mutex_lock(&lock);
     g_hash_table_insert(calls, g_strdup(p), GINT_TO_POINTER(GPOINTER_TO_INT(g_hash_table_lookup(calls, p)) + 1));
     bool is_multi = strcmp(p, "/multi") == 0;
-    if (trouble == STANDIN_OUTAGE) {
+    end_leases();
+    if (trouble == STANDIN_OUTAGE || (second_door && door_shut)) {
         status = 503;
     } else if (is_multi && trouble == STANDIN_BUDGET) {
         status = 429;
@@ -153,10 +188,15 @@
             cJSON_AddNumberToObject(out, "epoch", (double)epoch);
         }
     } else if (strcmp(p, "/grants") == 0) {
-        g_hash_table_add(leases, GINT_TO_POINTER((int)next_lease));
+        struct lease *l = g_new0(struct lease, 1);
+        l->ttl_s = base_num(body, "ttl_ms", 5000) / 1000;
+        l->renewed = base_now();
+        g_hash_table_insert(leases, GINT_TO_POINTER((int)next_lease), l);
         cJSON_AddNumberToObject(out, "lease", (double)next_lease++);
     } else if (g_str_has_prefix(p, "/grants/")) {
-        status = g_hash_table_contains(leases, GINT_TO_POINTER(atoi(p + 8))) ? 200 : 404;
+        struct lease *l = g_hash_table_lookup(leases, GINT_TO_POINTER(atoi(p + 8)));
+        if (l) l->renewed = base_now();
+        status = l ? 200 : 404;
     } else if (strcmp(p, "/changes") == 0) {
         if (trouble == STANDIN_GONE_410) {
             status = 410;
@@ -175,11 +215,19 @@
 bool standin_state_start(const char *address) {
     rows = g_tree_new_full(by_key, NULL, g_free, row_free);
     events = g_ptr_array_new();
-    leases = g_hash_table_new(NULL, NULL);
+    leases = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return http_serve(address, 64, on_request, NULL) != NULL;
 }
 
+bool standin_state_second_door(const char *address) { return http_serve(address, 64, on_request, &door_shut) != NULL; }
+
+void standin_state_shut(bool shut) {
+    pthread_mutex_lock(&lock);
+    door_shut = shut;
+    pthread_mutex_unlock(&lock);
+}
+
 void standin_state_trouble(enum standin_trouble t) {
     pthread_mutex_lock(&lock);
     trouble = t;
--- a/tests/standin/state.h
+++ b/tests/standin/state.h
@@ -11,6 +11,9 @@
     STANDIN_GONE_410,    /* the next watch is too old */
 };
 bool standin_state_start(const char *address);
+/* Another address of the same store, which can be shut for those who use it: they get 503 while others are served. */
+bool standin_state_second_door(const char *address);
+void standin_state_shut(bool shut);
 void standin_state_trouble(enum standin_trouble t);
 void standin_state_put(const char *key, const char *json); /* as another controller would */
 void standin_state_remove(const char *key);
