One machine recorded twice: the later record holds in any order; strangers wait; races in the tests

Not repeated since, so the path is inferred: a machine that answers before its renter has recorded it was adopted at once by another share. Both pages named it, and a controller that read them anew placed it by the order of keys, others by the order of time; the next write of a page without it counted as its return, and its tasks were released without proof. - A page moves a machine only if it is later than the record that placed it (recorded_twice, fails without it). - A machine that nobody has recorded is left to its renter for 8 s before its report makes it a stranger to adopt. - An ended attempt is not forgotten while a start may still be on its way: it would run anew. - Thread checking found two races, both mended: the server's daemon read before its start returned, and the types' number read without the lock.

--- a/src/base/http.c
+++ b/src/base/http.c
@@ -70,7 +70,9 @@
         MHD_add_response_header(resp, "Retry-After", t);
     }
     /* Workers by the thousand must not shut out health checks and users, who come by the same address. */
-    const union MHD_DaemonInfo *now = MHD_get_daemon_info(r->server->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+    /* Asked of the connection: a first request may come before the server's start has returned its daemon. */
+    const union MHD_ConnectionInfo *of = MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_DAEMON);
+    const union MHD_DaemonInfo *now = of ? MHD_get_daemon_info(of->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS) : NULL;
     if (r->passing && now && http_crowded(now->num_connections, r->server->most))
         MHD_add_response_header(resp, "Connection", "close");
     enum MHD_Result rc = MHD_queue_response(r->conn, r->status, resp);
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -276,16 +276,16 @@
     for (;;) {
         base_bell_await(&bell, base_span(0.25));
         store_lock();
-        bool leads = membership_leads();
+        bool leads = membership_leads(), typed_once = n_flavours > 0;
         double list_every = MAX(2.5, 6 * membership_live() / cfg->cloud_rps);
         store_unlock();
-        if ((!n_flavours && (leads || base_since(began) > 6)) || (leads && base_since(typed) > 120)) {
+        if ((!typed_once && (leads || base_since(began) > 6)) || (leads && base_since(typed) > 120)) {
             if (!may_call(false)) continue;
             read_flavours(c);
             typed = base_now();
             continue;
         }
-        if (!n_flavours) continue;
+        if (!typed_once) continue;
         char ids[100][64];
         struct rent_order orders[ORDERS_MOST];
         int busy, wants = 0;
--- a/src/records/records.c
+++ b/src/records/records.c
@@ -111,7 +111,6 @@
 }
 
 static void apply_page(const char *rest, const cJSON *data, int64_t stamp) {
-    (void)stamp;
     int k = (int)g_ascii_strtoll(rest, NULL, 10);
     const char *slash = strchr(rest, '/');
     if (k < 0 || k >= cfg->size || !slash) return;
@@ -126,7 +125,13 @@
         const cJSON *e = x->child;
         for (int i = 0; i < 8; i++, e = e ? e->next : NULL) f[i] = e;
         if (!cJSON_IsString(f[0]) || strlen(f[0]->valuestring) >= sizeof((struct machine *)0)->id) continue;
+        /* Two may record one machine: who rented it, and who heard of it as a stranger meanwhile. The later record
+         * holds, in whatever order they are read: once a controller that had read them anew took the machine for
+         * another's, left it out of its page, and the others released what ran on it. */
+        const struct machine *known = records_find(f[0]->valuestring);
+        if (known && known->placed > stamp && (known->share != k || known->page != page)) continue;
         struct machine *m = machine_here(f[0]->valuestring, k, page);
+        m->placed = stamp;
         g_hash_table_add(seen, m);
         const char *address = cJSON_IsString(f[1]) ? f[1]->valuestring : "";
         if (*address && !m->address[0]) g_strlcpy(m->address, address, sizeof m->address);
@@ -158,7 +163,6 @@
 }
 
 static void apply_single(const char *id, const cJSON *data, int64_t stamp) {
-    (void)stamp;
     if (!data) {
         struct machine *m = records_find(id);
         if (m && m->page < 0) machine_gone(m);
@@ -176,6 +180,7 @@
         share >= cfg->size)
         return;
     struct machine *m = machine_here(id, (int)share, -1);
+    m->placed = stamp;
     const char *v;
     if (!base_int(data, "fence", &m->fence)) m->fence = 0;
     if ((v = base_str(data, "address")) && *v) g_strlcpy(m->address, v, sizeof m->address);
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -34,10 +34,11 @@
 
 struct machine {
     char id[64];
-    bool known;    /* false: only heard of through a booking; no record means that it is gone */
-    int share;     /* -1: none */
-    int page;      /* of its share; -1: in a record of its own, on its way between shares */
-    int64_t fence; /* its own token from adoption or a raise; the share's may be higher */
+    bool known;     /* false: only heard of through a booking; no record means that it is gone */
+    int share;      /* -1: none */
+    int page;       /* of its share; -1: in a record of its own, on its way between shares */
+    int64_t placed; /* stamp of the record that says so */
+    int64_t fence;  /* its own token from adoption or a raise; the share's may be higher */
     char address[64], sku[64], site[64];
     const struct flavour_info *flavour;
     bool spot, returning;
--- a/src/records/records_test.c
+++ b/src/records/records_test.c
@@ -141,6 +141,38 @@
     assert_null(records_find("i-900000"));
 }
 
+static void apply(const char *key, const char *json, int64_t at) {
+    cJSON *x = cJSON_Parse(json);
+    store_apply(key, x, at);
+    cJSON_Delete(x);
+}
+
+/* One machine on two pages: who rented it and who heard of it as a stranger have both recorded it. The later record
+ * holds, in whatever order they are read, and the other's loss of it proves nothing about its tasks. */
+static void recorded_twice(void **state) {
+    (void)state;
+    for (int order = 0; order < 2; order++) {
+        char one[160], run[64];
+        const char *id = order ? "i-960001" : "i-960000";
+        int64_t at = 100000 + order * 1000;
+        g_snprintf(one, sizeof one, "{\"sku\":[\"g\"],\"site\":[\"za\"],\"m\":[[\"%s\",\"\",0,0,0,0,1,\"\"]]}", id);
+        g_snprintf(run, sizeof run, "{\"f\":5,\"b\":\"0@%s+0\"}", id);
+        store_lock();
+        apply(order ? "run/req-96001/0" : "run/req-96000/0", run, at);
+        apply(order ? "fleet/0/201" : "fleet/1/200", one, order ? at + 20 : at + 10);
+        apply(order ? "fleet/1/201" : "fleet/0/200", one, order ? at + 10 : at + 20);
+        struct machine *m = records_find(id);
+        assert_non_null(m);
+        assert_int_equal(m->share, 0);
+        assert_int_equal(m->bookings->len, 1);
+        apply(order ? "fleet/1/201" : "fleet/1/200", "{\"sku\":[],\"site\":[],\"m\":[]}", at + 30);
+        m = records_find(id);
+        bool stays = m && m->share == 0 && !((struct booking *)m->bookings->pdata[0])->over;
+        store_unlock();
+        assert_true(stays);
+    }
+}
+
 int main(void) {
     char err[256];
     if (!settings_parse(SITE_JSON, "f.json", &cfg, err, sizeof err)) return 1;
@@ -154,6 +186,6 @@
     rounds_init(&cfg);
     workers_init(&cfg);
     const struct CMUnitTest tests[] = {cmocka_unit_test(pages), cmocka_unit_test(passes),
-                                       cmocka_unit_test(first_layout)};
+                                       cmocka_unit_test(recorded_twice), cmocka_unit_test(first_layout)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -11,6 +11,7 @@
 
 #define SENDERS 44
 #define PROBERS 32     /* of them: an address that hangs costs one its time limit, and many hang at once */
+#define ADOPT_S 8.0    /* how long a machine that nobody has recorded is left to who rented it */
 #define ORDER_S 3.0    /* how old a decision to start a task may be when it is sent */
 #define ANSWER_MS 1500 /* how long a worker may take to answer */
 
@@ -213,7 +214,8 @@
     bool ours = m->seen_fence >= records_token(m); /* first the token, then orders, but for stops that can't wait */
     for (guint i = 0; i < m->strays->len && i < 200; i++) {
         struct stray *s = &g_array_index(m->strays, struct stray, i);
-        if (s->ended && !ours) continue;
+        /* As long as the worker lists an attempt, a start of it that still comes does nothing. */
+        if (s->ended && (!ours || m->unknown || start_on_its_way(m))) continue;
         if (s->ended)
             add_order(list, "forget", s->task, s->attempt, -1);
         else
@@ -384,14 +386,21 @@
 }
 
 /* An unknown machine's report may be a late copy from one that was returned long ago: only one that answers is adopted.
- */
+ * Nor at once: who rented it may be about to record it. */
 static void ask_stranger(const char *id, const char *address) {
+    struct first_and_last {
+        struct timespec first, last;
+    };
     static GHashTable *asked; /* id -> when; under store_lock */
     if (!asked) asked = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    struct timespec *when = g_hash_table_lookup(asked, id);
-    if (when && base_since(*when) < 2) return;
-    if (!when) g_hash_table_insert(asked, g_strdup(id), when = g_new0(struct timespec, 1));
-    *when = base_now();
+    struct first_and_last *when = g_hash_table_lookup(asked, id);
+    if (!when) {
+        when = g_new0(struct first_and_last, 1);
+        when->first = base_now();
+        g_hash_table_insert(asked, g_strdup(id), when);
+    }
+    if (base_since(when->first) < ADOPT_S || (when->last.tv_sec && base_since(when->last) < 2)) return;
+    when->last = base_now();
     struct letter *l = g_new0(struct letter, 1);
     g_strlcpy(l->id, id, sizeof l->id);
     g_strlcpy(l->address, address, sizeof l->address);
