--- a/src/renting/renting.c
+++ b/src/renting/renting.c
@@ -99,6 +99,13 @@
     }
 }
 
+/* One more machine in the plan. */
+static void add_order(GArray *vms, const struct rent_order *o, int weight) {
+    renting_vm_add(vms, o->sku, o->site, o->spot);
+    g_array_index(vms, struct renting_vm, vms->len - 1).o.weight = weight;
+    if (zone_of(o->site)) ++*zone_of(o->site);
+}
+
 /* The design's weak point: headroom is a sum, so scattered pieces starve gangs while no rental fires. A share that runs
  * gangs keeps one whole machine in SPARE_IN, there or booting, beyond what waits; as few as drain at a time. */
 #define SPARE_IN 7
@@ -119,9 +126,7 @@
         struct rent_order o;
         memset(&o, 0, sizeof o);
         if (!choose(k, like, NULL, true, &o)) return;
-        renting_vm_add(vms, o.sku, o.site, o.spot);
-        g_array_index(vms, struct renting_vm, vms->len - 1).o.weight = 1;
-        if (zone_of(o.site)) ++*zone_of(o.site);
+        add_order(vms, &o, 1);
     }
 }
 
@@ -232,10 +237,7 @@
             memset(&o, 0, sizeof o);
             if (!taken && have + fresh < cap && choose(k, j, want, dear, &o)) {
                 static const int weights[] = {1, 2, 6, 8};
-                o.weight = weights[j->spec.rank];
-                renting_vm_add(vms, o.sku, o.site, o.spot);
-                g_array_index(vms, struct renting_vm, vms->len - 1).o.weight = o.weight;
-                if (zone_of(o.site)) ++*zone_of(o.site);
+                add_order(vms, &o, weights[j->spec.rank]);
                 fresh++;
                 if (j->spec.reclaimable && cloud_flavour(o.sku)) slots += cloud_flavour(o.sku)->gpus;
                 renting_vm_takes(&g_array_index(vms, struct renting_vm, vms->len - 1), j, want);
--- a/src/watch/watch.c
+++ b/src/watch/watch.c
@@ -110,16 +110,23 @@
     }
 }
 
+/* Its replicas may have to start elsewhere soon: what they need may boot meanwhile. */
+static void replicas_at_risk(const struct machine *m) {
+    for (guint b = 0; b < m->bookings->len; b++) {
+        struct booking *x = m->bookings->pdata[b];
+        x->job->at_risk += !x->over && x->job->spec.shape == JOB_STANDING;
+    }
+}
+
 /* A machine of a cut zone. It may be back before its tasks' end; until then they run on. If it is not, their replicas
  * should find machines that have booted meanwhile. True: nothing is to be done about it yet. */
 static bool wait_for_zone(struct machine *m, const struct zone_watch *z) {
     double keeps = watch_zone_keeps(m->site), boot = m->flavour ? m->flavour->startup_s : 60;
     if (z->newest >= keeps) return false;
+    if (z->newest > MAX(5, keeps - 1.5 * boot - 5)) replicas_at_risk(m);
     bool runs = false;
     for (guint b = 0; b < m->bookings->len; b++) {
-        struct booking *x = m->bookings->pdata[b];
-        if (z->newest > MAX(5, keeps - 1.5 * boot - 5))
-            x->job->at_risk += !x->over && x->job->spec.shape == JOB_STANDING;
+        const struct booking *x = m->bookings->pdata[b];
         runs |= !x->over && (x->seen || x->inherited);
     }
     /* Nothing runs there, and what was ordered last may never have come: given back, its tasks start elsewhere now. */
@@ -154,11 +161,7 @@
         if (m->unanswered >= 2 && base_since(m->heard) > UNANSWERED_S && z >= 0 &&
             watch_zone_silence(zones[z].up, base_secs(cfg->report)) < UNANSWERED_S - 1)
             silent = true;
-        /* Its replicas will start elsewhere soon: what they need may boot meanwhile. */
-        for (guint b = 0; m->up && m->unanswered && !cut && b < m->bookings->len; b++) {
-            struct booking *x = m->bookings->pdata[b];
-            x->job->at_risk += !x->over && x->job->spec.shape == JOB_STANDING;
-        }
+        if (m->up && m->unanswered && !cut) replicas_at_risk(m);
         /* It reports, but nothing of what we answer reaches it: its lease runs out though it is not silent. */
         if (m->up && m->ignored >= 3) {
             log_info("machine %s: its reports arrive, our answers don't reach it; returning it", m->id);
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -378,6 +378,16 @@
     return !has_run || (age_s < ORDER_S && ours && verified);
 }
 
+static bool still_good(const struct letter *l) {
+    if (!l->has_run) return true; /* most letters only ask: no lock for them */
+    store_lock();
+    struct machine *m = records_find(l->id);
+    bool good = workers_still_good(true, base_since(l->decided), m && records_mine(m) && m->owned_fence == l->owned,
+                                   membership_verified());
+    store_unlock();
+    return good;
+}
+
 static void post(struct job_queue *q, struct letter *l) {
     pthread_mutex_lock(&q->lock);
     g_queue_push_tail(q->q, l);
@@ -436,11 +446,7 @@
         }
         snprintf(url, sizeof url, "http://%s/commands", l->address);
         struct timespec sent = base_now();
-        store_lock();
-        struct machine *to = records_find(l->id);
-        bool good = workers_still_good(l->has_run, base_since(l->decided),
-                                       to && records_mine(to) && to->owned_fence == l->owned, membership_verified());
-        store_unlock();
+        bool good = still_good(l);
         enum http_outcome out = good ? http_call(c, "POST", url, l->body, ANSWER_MS, &status, &a) : HTTP_NOT_SENT;
         /* A controller that stood still or is short of its processor time learns nothing from a late look. */
         bool in_time = base_since(sent) < ANSWER_MS / 1000.0 + 0.3;
--- a/src/workers/workers_test.c
+++ b/src/workers/workers_test.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "../../tests/standin/owned.h"
 #include "../../tests/standin/site.h"
 #include "../../tests/standin/state.h"
 #include "bookings/bookings.h"
@@ -405,26 +406,7 @@
     char *text = site_with(SITE_JSON, "127.0.0.1:18084", "127.0.0.1:18185");
     if (!settings_parse(text, "f.json", &cfg, err, sizeof err) || !standin_state_start(cfg.state)) return 1;
     g_free(text);
-    base_log_init("error");
-    store_init(&cfg);
-    membership_init(&cfg);
-    jobs_init(&cfg);
-    workers_init(&cfg);
-    cloud_init(&cfg);
-    records_init(&cfg);
-    bookings_init(&cfg);
-    rounds_init(&cfg);
-    watch_init(&cfg);
-    peers_init(&cfg);
-    store_mirror_start();
-    membership_start();
-    for (int i = 0; i < 100; i++) {
-        store_lock();
-        bool mine = membership_mine(0);
-        store_unlock();
-        if (mine) break;
-        base_sleep(base_span(0.1));
-    }
+    owned_start(&cfg);
     const struct CMUnitTest tests[] = {cmocka_unit_test(proofs),
                                        cmocka_unit_test(takeover_in_flight),
                                        cmocka_unit_test(raise_token),
