--- a/src/service/service_meetings_test.c
+++ b/src/service/service_meetings_test.c
@@ -321,6 +321,22 @@
     assert_true(pair_becomes("req-90002", "cancelled", 5));
 }
 
+/* A machine that reports and takes orders, but does not end what was cancelled: it is given back in time. */
+static void stop_not_obeyed(void) {
+    long_job("req-90001", 0, 1);
+    long_job("req-90002", 1, 1);
+    int before = standin_cloud_returned();
+    standin_workers_reach(standin_workers_on("req-90001/0"), STANDIN_DEFIANT);
+    assert_int_equal(cancel(1, "req-90001"), 200);
+    struct timespec told = base_now();
+    pair_wait(told, PAIR_CANCEL_S / 2);
+    assert_int_equal(standin_workers_running("req-90001/0"), 1);
+    pair_wait(told, PAIR_CANCEL_S);
+    assert_int_equal(standin_workers_running("req-90001/0"), 0);
+    assert_int_equal(standin_cloud_returned(), before + 1);
+    assert_int_equal(standin_workers_running("req-90002/0"), 1);
+}
+
 static const struct {
     const char *what;
     void (*bring_about)(void);
@@ -339,6 +355,7 @@
     {"late transactions", late_transactions, 0},
     {"late reports", late_reports, 0},
     {"all away", all_away, 0},
+    {"a stop not obeyed", stop_not_obeyed, 0},
 };
 static size_t row;
 
--- a/src/watch/watch.c
+++ b/src/watch/watch.c
@@ -133,6 +133,26 @@
     return runs || m->bookings->len == 0 || z->newest < 5;
 }
 
+bool watch_end_overdue(double ended_s, double reported_s, double lease_s, double cancel_s) {
+    /* Time for the record, the call and a few that go before it. One that has not reported for a lease has killed it.
+     */
+    double lead = MIN(MAX(4, (cancel_s - lease_s) / 4), (cancel_s - lease_s) / 2);
+    return ended_s > cancel_s - lead && reported_s < lease_s;
+}
+
+/* Every answer carries the stop, and renews the lease by which the task would otherwise end: a machine that reports and
+ * does not end it has to go, whatever else runs there. */
+static bool holds_cancelled(const struct machine *m) {
+    for (guint i = 0; i < m->bookings->len; i++) {
+        const struct booking *b = m->bookings->pdata[i];
+        if (!b->over && b->seen && b->job->state == JOB_CANCELLED &&
+            watch_end_overdue(base_since(b->job->ended), base_since(m->reported), base_secs(cfg->lease),
+                              base_secs(cfg->cancel)))
+            return true;
+    }
+    return false;
+}
+
 void watch_machines(int k, int up, int heard) {
     for (guint i = 0; i < jobs_active_of(k)->len; i++) ((struct job *)jobs_active_of(k)->pdata[i])->at_risk = 0;
     struct zone_watch zones[SETTINGS_ZONES];
@@ -179,6 +199,10 @@
             log_info("machine %s: never came up, returning it", m->id);
             m->want_return = true;
         }
+        if (m->up && holds_cancelled(m)) {
+            log_info("machine %s: does not end a cancelled task, returning it", m->id);
+            m->want_return = true;
+        }
         if (m->warning >= 0) {
             double left = m->warning - base_since(m->warned);
             for (guint b = 0; b < m->bookings->len; b++) {
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -9,6 +9,9 @@
 void watch_count_heard(int *up, int *heard, int *reported);
 /* Pure: after how long without a word from any of so many machines of a zone the zone counts as cut off. */
 double watch_zone_silence(int machines, double report_s);
+/* Pure: whether a cancelled task that a machine still shows makes its return due, that long after the cancellation and
+ * after its last report. */
+bool watch_end_overdue(double ended_s, double reported_s, double lease_s, double cancel_s);
 double watch_zone_keeps(const char *site);
 /* With store_lock held. Nothing is heard of the share's machines in the zone. */
 bool watch_zone_cut(int k, const char *site);
--- a/src/watch/watch_test.c
+++ b/src/watch/watch_test.c
@@ -18,7 +18,24 @@
     }
 }
 
+/* When a machine that still shows a cancelled task has to go. */
+static void end_overdue(void **state) {
+    (void)state;
+    static const struct {
+        double ended_s, reported_s, lease_s, cancel_s;
+        bool want;
+    } rows[] = {
+        {1, 1, 26.5, 51.5, false},   {40, 1, 26.5, 51.5, false}, {46, 1, 26.5, 51.5, true},
+        {46, 27, 26.5, 51.5, false}, /* its lease has ended it */
+        {46, 20, 26.5, 51.5, true},  {57, 1, 34, 64, true},      {50, 1, 34, 64, false},
+        {5.5, 0.1, 4, 8, false},     {6.5, 0.1, 4, 8, true}, /* short times leave half of the room at most */
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+        if (watch_end_overdue(rows[i].ended_s, rows[i].reported_s, rows[i].lease_s, rows[i].cancel_s) != rows[i].want)
+            fail_msg("row %zu", i);
+}
+
 int main(void) {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(zone_silence)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(zone_silence), cmocka_unit_test(end_overdue)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/standin/fleet.c
+++ b/tests/standin/fleet.c
@@ -126,7 +126,7 @@
             starts++;
             most = MAX(most, running_now(task));
             if (peak_prefix) peak = MAX(peak, held_now(peak_prefix));
-        } else if (strcmp(verb, "stop") == 0 && have && !have->ended) {
+        } else if (strcmp(verb, "stop") == 0 && have && !have->ended && w->reach != STANDIN_DEFIANT) {
             have->ended = true;
             g_strlcpy(have->cause, "stopped", sizeof have->cause);
         } else if (strcmp(verb, "forget") == 0 && have && have->ended) {
--- a/tests/standin/fleet.h
+++ b/tests/standin/fleet.h
@@ -30,11 +30,12 @@
 /* What reaches a machine, and what of it reaches others; index -1: all of them. */
 enum standin_reach {
     STANDIN_WELL,
-    STANDIN_MUTE,  /* reaches no controller; direct commands reach it */
-    STANDIN_DEAF,  /* its reports arrive; answers and commands are lost */
-    STANDIN_HELD,  /* reports as usual; commands get no answer and are executed when this ends */
-    STANDIN_HANGS, /* does nothing; what comes waits until this ends */
-    STANDIN_ISLAND /* reaches the first controller only; commands are lost */
+    STANDIN_DEFIANT, /* all is well, but stops do nothing */
+    STANDIN_MUTE,    /* reaches no controller; direct commands reach it */
+    STANDIN_DEAF,    /* its reports arrive; answers and commands are lost */
+    STANDIN_HELD,    /* reports as usual; commands get no answer and are executed when this ends */
+    STANDIN_HANGS,   /* does nothing; what comes waits until this ends */
+    STANDIN_ISLAND   /* reaches the first controller only; commands are lost */
 };
 void standin_workers_reach(int index, enum standin_reach reach);
 
