--- a/src/bookings/bookings.c
+++ b/src/bookings/bookings.c
@@ -139,24 +139,6 @@
     return j->state != JOB_QUEUED && !live && j->runs && (j->runs[chunk] & 1);
 }
 
-/* A machine is on record before anything is booked on it, and leaves its record only when the cloud has confirmed its
- * return. Whoever reads the store after that, and before the bookings' own record has followed, finds nobody to ask:
- * all controllers ended in between, and the task would have waited for ever. */
-void bookings_settle(int k) {
-    GPtrArray *lists[] = {jobs_active_of(k), jobs_ended_of(k)};
-    for (int l = 0; l < 2; l++)
-        for (guint i = 0; i < lists[l]->len; i++) {
-            struct job *j = lists[l]->pdata[i];
-            for (guint b = 0; b < j->bookings->len; b++) {
-                struct booking *x = j->bookings->pdata[b];
-                if (x->over || x->m->known) continue;
-                log_info("task %s/%d was booked on %s, which is gone", j->spec.uid, x->task, x->m->id);
-                x->over = true;
-                jobs_touch(j, x->task);
-            }
-        }
-}
-
 static void apply_run(const char *rest, const cJSON *data, int64_t stamp) {
     (void)stamp;
     char uid[64], machine[64];
--- a/src/bookings/bookings.h
+++ b/src/bookings/bookings.h
@@ -22,7 +22,4 @@
 
 /* Pure: reads "task@machine+delta ..." one entry at a time; false at the end or where the text is broken. */
 bool bookings_read(const char **text, int64_t base, int *task, char *machine, size_t n, int64_t *attempt);
-
-/* With store_lock held, when a share becomes ours. What is booked on machines that no record names is gone. */
-void bookings_settle(int k);
 #endif
--- a/src/records/records.c
+++ b/src/records/records.c
@@ -14,7 +14,7 @@
 static GPtrArray *of_share[RECORDS_SHARES];
 static GHashTable *newcomers;
 static GHashTable *gone; /* ids that were recorded and are no more: a stale list must not bring them back */
-static bool refused, damaged;
+static bool refused;
 
 struct records_share records_shares[RECORDS_SHARES];
 
@@ -26,7 +26,6 @@
 GPtrArray *records_of(int k) { return of_share[k]; }
 GHashTable *records_newcomers(void) { return newcomers; }
 bool records_refused(void) { return refused; }
-bool records_damaged(void) { return damaged; }
 
 int records_share_of(const char *id) {
     const char *dash = strrchr(id, '-');
@@ -158,7 +157,6 @@
             p += *p == ',';
         }
     }
-    damaged |= !whole;
     if (!whole) log_error("fleet/%s: can't be read in full, its other machines stay on record", rest);
     for (guint i = of_share[k]->len; whole && i-- > 0;) {
         struct machine *m = of_share[k]->pdata[i];
@@ -188,7 +186,6 @@
     if (strlen(id) >= sizeof((struct machine *)0)->id || !base_int(data, "share", &share) || share < 0 ||
         share >= cfg->size) {
         log_error("machine/%s: can't be read", id);
-        damaged = true;
         return;
     }
     struct machine *m = machine_here(id, (int)share, -1);
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -128,6 +128,5 @@
 cJSON *records_page_value(int k, int page, int *count);
 int records_page_for(int k, const char *id); /* a page with room for one more */
 cJSON *records_single_value(const struct machine *m, int share, int64_t fence);
-bool records_damaged(void); /* a record of machines could not be read in full: who is not named may be there */
 bool records_refused(void); /* the store holds records of a layout that is not ours to read */
 #endif
--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -684,7 +684,6 @@
             records_shares[k].next = 0;
             records_shares[k].barrier = false;
             records_shares[k].since = base_now();
-            if (!records_damaged()) bookings_settle(k);
             log_info("share %d: ours under fence %lld", k, (long long)f);
         }
     }
