A passing read late must not undo a page read ahead; bookings and pages are read in the watch's order only

The log: a controller back from a cut took a share and released what was booked on machines that its mirror took for gone. Since pages name their own stamps, a conflict made it read a page on its own, ahead of the watch; the older passing that the watch told then moved the machine back, and the end of the passing removed it. Now a passing older than what placed the machine is ignored, and a conflict reads neither pages nor run records. Test: records, read_ahead.

--- a/src/records/records.c
+++ b/src/records/records.c
@@ -170,9 +170,12 @@
 }
 
 static void apply_single(const char *id, const cJSON *data, int64_t stamp) {
+    /* As for pages: what a later record has shown holds, in whatever order they are read. A page read on its own, ahead
+     * of the watch, was once undone by the passing before it: machines that ran tasks were taken for gone. */
+    struct machine *placed = records_find(id);
+    if (placed && placed->placed > stamp) return;
     if (!data) {
-        struct machine *m = records_find(id);
-        if (m && m->page < 0) machine_gone(m);
+        if (placed && placed->page < 0) machine_gone(placed);
         return;
     }
     int64_t share = 0;
--- a/src/records/records_test.c
+++ b/src/records/records_test.c
@@ -173,6 +173,33 @@
     }
 }
 
+/* A machine passes between shares, and its new page is read ahead of the watch, which then tells of the passing. */
+static void read_ahead(void **state) {
+    (void)state;
+    cJSON *page = cJSON_Parse("{\"sku\":[\"g\"],\"site\":[\"za\"],\"m\":[[\"i-009005\",\"\",0,0,0,0,1,\"\"]]}"),
+          *none = cJSON_Parse("{\"sku\":[\"g\"],\"site\":[\"za\"],\"m\":[]}"),
+          *passing = cJSON_Parse("{\"share\":1,\"fence\":3,\"address\":\"\",\"flavour\":\"g\",\"site\":\"za\"}");
+    int64_t at = stamp += 10;
+    store_lock();
+    store_apply("fleet/0/98", page, at);
+    store_apply("fleet/1/98", page, at + 5); /* the newest, read on its own */
+    store_apply("fleet/0/98", none, at + 2);
+    store_apply("machine/i-009005", passing, at + 2);
+    store_apply("fleet/1/98", page, at + 4);
+    store_apply("machine/i-009005", NULL, at + 4);
+    struct machine *m = records_find("i-009005");
+    assert_non_null(m);
+    assert_int_equal(m->share, 1);
+    assert_int_equal(m->page, 98);
+    store_apply("fleet/1/98", NULL, at + 6);
+    assert_null(records_find("i-009005"));
+    store_unlock();
+    stamp += 10;
+    cJSON_Delete(page);
+    cJSON_Delete(none);
+    cJSON_Delete(passing);
+}
+
 /* A page that can't be read in full takes nobody off the record: what runs there would be started again. */
 static void unreadable(void **state) {
     (void)state;
@@ -213,8 +240,8 @@
     bookings_init(&cfg);
     rounds_init(&cfg);
     workers_init(&cfg);
-    const struct CMUnitTest tests[] = {cmocka_unit_test(pages), cmocka_unit_test(passes),
-                                       cmocka_unit_test(recorded_twice), cmocka_unit_test(unreadable),
-                                       cmocka_unit_test(first_layout)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(pages),          cmocka_unit_test(passes),
+                                       cmocka_unit_test(recorded_twice), cmocka_unit_test(read_ahead),
+                                       cmocka_unit_test(unreadable),     cmocka_unit_test(first_layout)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -705,7 +705,12 @@
             store_unlock();
             again = true;
         } else if (rc == STORE_CONFLICT) {
-            for (guint f = 0; f < a.failed->len; f++) store_refresh(c, a.failed->pdata[f]);
+            /* Bookings and pages only in the order of the watch: read on their own they would be ahead of the records
+             * that they rest on. */
+            for (guint f = 0; f < a.failed->len; f++)
+                if (!g_str_has_prefix(a.failed->pdata[f], "run/") && !g_str_has_prefix(a.failed->pdata[f], "fleet/"))
+                    store_refresh(c, a.failed->pdata[f]);
+            store_nudge();
             again = true;
         } else if (rc == STORE_UNKNOWN || rc == STORE_BAD) {
             records_shares[k].barrier = true;
