--- a/src/base/base.h
+++ b/src/base/base.h
@@ -62,6 +62,10 @@
 enum http_outcome { HTTP_ANSWERED, HTTP_NOT_SENT, HTTP_UNKNOWN };
 struct http_client *http_client_new(void);
 void http_client_free(struct http_client *c);
+/* The same on a connection of its own: a kept connection that ends before the answer makes the client send the request
+ * once more, and the first copy may be carried out much later. */
+enum http_outcome http_call_once(struct http_client *c, const char *method, const char *url, const char *body,
+                                 long timeout_ms, long *status, cJSON **answer);
 enum http_outcome http_call(struct http_client *c, const char *method, const char *url, const char *body,
                             long timeout_ms, long *status, cJSON **answer);
 #endif
--- a/src/base/http.c
+++ b/src/base/http.c
@@ -224,3 +224,11 @@
     if (answer) *answer = cJSON_ParseWithLength(c->in->str, c->in->len);
     return HTTP_ANSWERED;
 }
+
+enum http_outcome http_call_once(struct http_client *c, const char *method, const char *url, const char *body,
+                                 long timeout_ms, long *status, cJSON **answer) {
+    curl_easy_setopt(c->curl, CURLOPT_FRESH_CONNECT, 1L);
+    enum http_outcome o = http_call(c, method, url, body, timeout_ms, status, answer);
+    curl_easy_setopt(c->curl, CURLOPT_FRESH_CONNECT, 0L);
+    return o;
+}
--- a/src/bookings/bookings.c
+++ b/src/bookings/bookings.c
@@ -180,7 +180,10 @@
         g_ptr_array_add(b->m->bookings, b);
         at[task - from] = b;
     }
-    for (guint i = j->bookings->len; i-- > 0;) {
+    /* What follows a piece that can't be read is not known to be gone. */
+    bool whole = !data || (cJSON_IsObject(data) && (!text || !text[strspn(text, " ")]));
+    if (!whole) log_error("run/%s: can't be read in full, its other bookings stay", rest);
+    for (guint i = j->bookings->len; whole && i-- > 0;) {
         struct booking *b = j->bookings->pdata[i];
         if (b->task < from || b->task >= from + size) continue;
         if (!keep[b->task - from] || at[b->task - from] != b) booking_free(b);
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -269,9 +269,15 @@
     if (!data || !jobs_uid_ok(uid)) return;
     struct job *j = jobs_find_or_stub(uid);
     if (!j->known) {
-        const char *bad;
+        const char *bad = "uid";
         const cJSON *spec = cJSON_GetObjectItemCaseSensitive(data, "spec");
-        if (spec_from(spec, cfg, &j->spec, &bad) != 0) return;
+        struct job_spec read;
+        if (spec_from(spec, cfg, &read, &bad) != 0 || strcmp(read.uid, uid) != 0) {
+            log_error("job/%s: its %s can't be read", uid, bad);
+            jobs_spec_clear(&read);
+            return;
+        }
+        j->spec = read;
         j->known = true;
         j->spec_text = cJSON_PrintUnformatted(spec);
         j->submitted = base_num(data, "at", 0);
@@ -284,6 +290,7 @@
                                                                 : JOB_QUEUED;
     if (j->state == JOB_QUEUED && now != JOB_QUEUED) {
         j->state = now;
+        j->ended = base_now();
         if (membership_mine(jobs_share(j)))
             log_info("job %s (%s, %d tasks, estimate %.0f s) is %s %.1f s after it came", j->spec.uid, j->spec.jobclass,
                      j->spec.tasks, j->spec.runtime_s, state, base_time_of_day() - j->submitted);
@@ -335,7 +342,7 @@
     struct http_req *req;
     char uid[64];
     char *spec_text;
-    int infeasible; /* 422 unless the job is known */
+    unsigned refusal; /* 400 or 422, unless the job is known; 0: none */
     char why[128];
     struct timespec came;
 };
@@ -444,24 +451,30 @@
         refuse(r, 400, "body: above 64 KiB", 0);
         return;
     }
-    if (jobs_parse(body, len, cfg, &spec, field, sizeof field) != 0) {
-        char text[128];
-        snprintf(text, sizeof text, "%s: missing or invalid", field);
-        refuse(r, 400, text, 0);
+    unsigned refusal = (unsigned)jobs_parse(body, len, cfg, &spec, field, sizeof field);
+    cJSON *o = cJSON_ParseWithLength(body, len);
+    const char *uid = base_str(o, "uid");
+    if (refusal) snprintf(why, sizeof why, "%s: missing or invalid", field);
+    if (refusal && !jobs_uid_ok(uid)) {
+        refuse(r, refusal, why, 0);
+        cJSON_Delete(o);
         return;
     }
+    /* An accepted job is known whatever its repetition looks like: a refusal waits until the store has shown that the
+     * id is nobody's. */
     struct ask *a = g_new0(struct ask, 1);
     a->kind = ASK_SUBMIT;
     a->req = r;
     a->came = base_now();
-    g_strlcpy(a->uid, spec.uid, sizeof a->uid);
+    a->refusal = refusal;
+    g_strlcpy(a->uid, uid, sizeof a->uid);
     store_lock();
-    struct job *j = jobs_find(spec.uid);
+    struct job *j = jobs_find(a->uid);
     bool terminal = j && j->known && j->state != JOB_QUEUED, known = j && j->known;
-    bool away = store_away(), ready = !away && (known || cloud_flavours_known());
+    bool away = store_away(), ready = !away && (known || refusal || cloud_flavours_known());
     if (terminal) answer_known(a, j);
-    if (!known && ready)
-        a->infeasible = jobs_feasible(&spec, cfg, cloud_flavours(), cloud_flavours_count(), why, sizeof why);
+    if (!known && ready && !refusal)
+        a->refusal = (unsigned)jobs_feasible(&spec, cfg, cloud_flavours(), cloud_flavours_count(), why, sizeof why);
     store_unlock();
     g_strlcpy(a->why, why, sizeof a->why);
     jobs_spec_clear(&spec);
@@ -471,11 +484,10 @@
         refuse(r, 503, away ? "the state service is out of reach" : "machine types are not known yet", away ? 2 : 1);
         ask_free(a);
     } else {
-        cJSON *o = cJSON_ParseWithLength(body, len);
         a->spec_text = cJSON_PrintUnformatted(o);
-        cJSON_Delete(o);
         push(0, a);
     }
+    cJSON_Delete(o);
 }
 
 bool jobs_route(struct http_req *r) {
@@ -604,7 +616,7 @@
         for (guint k = 0; k < i; k++) twice |= strcmp(((struct ask *)batch->pdata[k])->uid, a->uid) == 0;
         store_txn_if(t, key, store_stamp(key));
         if (twice) continue;
-        if (a->kind == ASK_SUBMIT && !(j && j->known) && !a->infeasible) {
+        if (a->kind == ASK_SUBMIT && !(j && j->known) && !a->refusal) {
             store_txn_set(t, key, jobs_value(a->spec_text, "queued", base_time_of_day()), 0);
         } else if (a->kind == ASK_CANCEL && j && j->known && j->state == JOB_QUEUED) {
             store_txn_set(t, key, jobs_value(j->spec_text, "cancelled", j->submitted), 0);
@@ -639,12 +651,14 @@
             else if (j && j->known)
                 reply_job(a->req, 201, a->uid, "queued", 0, 0);
             else
-                refuse(a->req, 422, a->why, 0);
+                refuse(a->req, a->refusal, a->why, 0);
         } else if (j && j->known) {
-            if (j->state == JOB_QUEUED)
+            if (j->state == JOB_QUEUED) {
                 refuse(a->req, 503, "not decided yet", 1);
-            else
+            } else {
+                j->told_cancelled = j->state == JOB_CANCELLED;
                 answer_known(a, j);
+            }
         } else {
             refuse(a->req, 404, "no such job", 0);
         }
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -30,7 +30,9 @@
     enum job_state state;
     double submitted; /* time of day of the acceptance */
     struct timespec seen;
-    uint8_t *done, *pend; /* recorded, and reported but not yet recorded */
+    bool told_cancelled;   /* we told its user so: its tasks end even if their owner never learns of it */
+    struct timespec ended; /* when we learned of its final state */
+    uint8_t *done, *pend;  /* recorded, and reported but not yet recorded */
     int n_done, n_pend;
     GPtrArray *bookings; /* struct booking */
     uint8_t *runs;       /* per chunk of tasks: 1 the store has a record, 2 what we know differs from it */
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -56,6 +56,10 @@
 
 bool membership_verified(void) { return store_ready() && base_since(store_verified()) < membership_bound(); }
 
+/* An owner that the store refuses alone went on starting what it had booked for as long as it may answer workers, 24 s,
+ * while others had confirmed cancellations. A start needs the look that a store in reach always gives. */
+bool membership_may_start(void) { return membership_verified() && !store_away(); }
+
 bool membership_leads(void) { return strcmp(leader, cfg->node) == 0 && strcmp(leader_inc, my_inc) == 0; }
 
 int membership_live(void) {
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -14,11 +14,12 @@
 
 /* All of these with store_lock held. */
 const struct share *membership_share(int k);
-bool membership_mine(int k);    /* share K is ours, and the mirror holds all that its former owner wrote */
-double membership_bound(void);  /* for how many seconds a look at the store entitles to answer workers */
-bool membership_verified(void); /* recent enough to answer workers: a cancellation told elsewhere can still be kept */
-int membership_live(void);      /* live controllers */
-int64_t membership_fence(void); /* the counter as mirrored */
+bool membership_mine(int k);     /* share K is ours, and the mirror holds all that its former owner wrote */
+double membership_bound(void);   /* for how many seconds a look at the store entitles to answer workers */
+bool membership_verified(void);  /* recent enough to answer workers: a cancellation told elsewhere can still be kept */
+bool membership_may_start(void); /* recent enough to start tasks: few can have been cancelled elsewhere since */
+int membership_live(void);       /* live controllers */
+int64_t membership_fence(void);  /* the counter as mirrored */
 const char *membership_inc(void);
 bool membership_leads(void); /* this node is the leader */
 
--- a/src/records/records.c
+++ b/src/records/records.c
@@ -118,13 +118,19 @@
     const cJSON *skus = cJSON_GetObjectItemCaseSensitive(data, "sku"),
                 *sites = cJSON_GetObjectItemCaseSensitive(data, "site"),
                 *images = cJSON_GetObjectItemCaseSensitive(data, "img"), *x;
+    /* A machine that a page no longer names is gone. One that can't be read names nobody: taken for an empty one, or an
+     * entry of it for none, it would release what still runs. */
+    bool whole = !data || cJSON_IsArray(cJSON_GetObjectItemCaseSensitive(data, "m"));
     GHashTable *seen = g_hash_table_new(g_direct_hash, g_direct_equal);
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(data, "m")) {
         /* id, address, type, zone, 1 spot + 2 on its way back, fence, born, images */
         const cJSON *f[8];
         const cJSON *e = x->child;
         for (int i = 0; i < 8; i++, e = e ? e->next : NULL) f[i] = e;
-        if (!cJSON_IsString(f[0]) || strlen(f[0]->valuestring) >= sizeof((struct machine *)0)->id) continue;
+        if (!cJSON_IsString(f[0]) || strlen(f[0]->valuestring) >= sizeof((struct machine *)0)->id) {
+            whole = false;
+            continue;
+        }
         /* Two may record one machine: who rented it, and who heard of it as a stranger meanwhile. The later record
          * holds, in whatever order they are read: once a controller that had read them anew took the machine for
          * another's, left it out of its page, and the others released what ran on it. */
@@ -151,7 +157,8 @@
             p += *p == ',';
         }
     }
-    for (guint i = of_share[k]->len; i-- > 0;) {
+    if (!whole) log_error("fleet/%s: can't be read in full, its other machines stay on record", rest);
+    for (guint i = of_share[k]->len; whole && i-- > 0;) {
         struct machine *m = of_share[k]->pdata[i];
         if (m->page != page || g_hash_table_contains(seen, m)) continue;
         char key[96];
@@ -177,8 +184,10 @@
         return;
     }
     if (strlen(id) >= sizeof((struct machine *)0)->id || !base_int(data, "share", &share) || share < 0 ||
-        share >= cfg->size)
+        share >= cfg->size) {
+        log_error("machine/%s: can't be read", id);
         return;
+    }
     struct machine *m = machine_here(id, (int)share, -1);
     m->placed = stamp;
     const char *v;
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -21,7 +21,8 @@
     bool inherited;        /* not ordered by us under this token: never started by us, released when shown absent */
     bool over;             /* proven gone or ended: its place is free, the record follows */
     bool stop, stop_sent;
-    int ordered; /* answered reports that carried its run order */
+    int asked_to_end; /* by us, not being its owner */
+    int ordered;      /* answered reports that carried its run order */
     double grace_s;
     struct timespec booked, changed;
 };
@@ -48,6 +49,7 @@
     int64_t owned_fence; /* the share fence under which the rest holds */
     bool up;
     int64_t tenure, seq, seen_fence;
+    struct timespec asked_to_end; /* when, not being its owner, we last asked tasks of it to end */
     struct timespec heard, reported, mine_since, probed; /* heard: by a report or a direct answer */
     double warning;                                      /* < 0: none */
     struct timespec warned;
--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -443,11 +443,14 @@
             jobs_run_record(j, c, there);
             continue;
         }
-        t = round_txn(r, 1, 1);
-        /* Not if the job was cancelled meanwhile. */
+        t = round_txn(r, 1, 2);
+        /* Not if the job was cancelled meanwhile, and not over a newer record: a transaction whose answer was lost, or
+         * a second copy of one that the connection's end made the client send again, may be carried out after later
+         * ones of ours. */
         snprintf(key, sizeof key, "job/%s", j->spec.uid);
         store_txn_if(t, key, store_stamp(key));
         bookings_key(j, c, key, sizeof key);
+        store_txn_if(t, key, store_stamp(key));
         if (v)
             store_txn_set(t, key, v, 0);
         else
@@ -507,6 +510,7 @@
             if (!(need[p] & RAISE)) continue;
             snprintf(key, sizeof key, "fleet/%d/%d", k, p);
             cJSON *page = records_page_value(k, p, &n);
+            store_txn_if(t, key, store_stamp(key));
             store_txn_set(t, key, page, 0);
             need[p] = 0;
         }
@@ -524,8 +528,9 @@
         for (guint i = 0; i < records_of(k)->len; i++)
             incoming += ((struct machine *)records_of(k)->pdata[i])->next_page == p;
         if (1 + incoming > cfg->txn_ops) continue;
-        struct store_txn *t = round_txn(r, 1 + incoming, 1 + incoming);
+        struct store_txn *t = round_txn(r, 1 + incoming, 2 + incoming);
         snprintf(key, sizeof key, "fleet/%d/%d", k, p);
+        store_txn_if(t, key, store_stamp(key));
         cJSON *page = records_page_value(k, p, &n);
         if (n > 0) {
             store_txn_set(t, key, page, 0);
--- /dev/null
+++ b/src/service/service_gap_test.c
@@ -0,0 +1,130 @@
+/* The gap: the store refuses one controller alone, another confirms cancellations, then the store is out for all for
+ * longer than cancel_s, while workers keep reporting to the refused one. Tasks of those jobs are gone within cancel_s
+ * of the confirmation all the same, those that had not begun don't begin, and the other jobs live on.
+ *
+ * One row a run: the stand-ins begin from nothing. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../tests/standin/fleet.h"
+#include "../../tests/standin/pair.h"
+#include "../../tests/standin/site.h"
+#include "../../tests/standin/state.h"
+
+#define REFUSED_S 0.8 /* from the refusal to the outage: less than a controller's lease in the store */
+#define KNOWN_S 3.5   /* by when a start that was under way at the confirmation has come, or does not */
+
+static const struct {
+    const char *what;
+    int leader;
+    bool of_other;  /* the cancelled jobs belong to the other controller's share */
+    bool turn;      /* workers turn to the other controller in the middle */
+    bool end_other; /* the one that confirmed ends right after it */
+    bool held;      /* a start is held up on its way to the machine */
+    bool hang;      /* a machine hangs, and resumes within its lease */
+    bool island;    /* the refused one is cut off with the workers of its zone */
+    double outage_s;
+} rows[] = {
+    {"the refused owner leads", 0, false, false, false, false, false, false, PAIR_CANCEL_S + 1},
+    {"another leads", 1, false, false, false, false, false, false, PAIR_CANCEL_S + 1},
+    {"workers turn to the other in the middle", 0, false, true, false, false, false, false, PAIR_CANCEL_S + 1},
+    {"the one that confirmed ends", 0, false, false, true, false, false, false, PAIR_CANCEL_S + 1},
+    {"a start is held up", 0, false, false, false, true, false, false, PAIR_CANCEL_S + 1},
+    {"a machine hangs", 0, false, false, false, false, true, false, PAIR_CANCEL_S + 1},
+    {"cut off with its zone, for the other's jobs", 1, true, false, false, false, false, true, PAIR_CANCEL_S + 1},
+};
+static size_t row;
+
+static const char *task(const char *uid, int n) {
+    static char name[64];
+    g_snprintf(name, sizeof name, "%s/%d", uid, n);
+    return name;
+}
+
+static int running(const char *uid, int tasks) {
+    int n = 0;
+    for (int t = 0; t < tasks; t++) n += standin_workers_running(task(uid, t));
+    return n;
+}
+
+static void cancel(const char *uid) {
+    char s[32] = "", path[64];
+    g_snprintf(path, sizeof path, "/work/%s/cancel", uid);
+    struct timespec start = base_now();
+    while (pair_ask_one(1, "POST", path, "{}", s, sizeof s) != 200 && base_since(start) < 1)
+        base_sleep(base_span(0.02));
+    assert_string_equal(s, "cancelled");
+}
+
+static void gap(void **state) {
+    (void)state;
+    assert_true(pair_begin_led_by(rows[row].leader));
+    const char *team = pair_team_of(rows[row].of_other ? 1 : 0);
+    assert_non_null(team);
+    /* 1 runs, 2 fetches until long after the outage has begun, 3 is not cancelled, 4 is booked at the last moment. */
+    standin_workers_fetch("req-90002", 6);
+    assert_true(pair_submit("req-90001", team, "standing", 2));
+    assert_true(pair_submit("req-90003", team, "standing", 1));
+    assert_true(pair_runs("req-90001/0", 1, 20) && pair_runs("req-90001/1", 1, 20) && pair_runs("req-90003/0", 1, 20));
+    assert_true(pair_submit("req-90002", team, "standing", 1));
+    struct timespec start = base_now();
+    while (!standin_workers_holding("req-90002/0") && base_since(start) < 10) base_sleep(base_span(0.01));
+    assert_int_equal(standin_workers_holding("req-90002/0"), 1);
+    int hanging = standin_workers_on("req-90001/0");
+    assert_true(hanging >= 0);
+    if (rows[row].held) {
+        standin_workers_reach(-1, STANDIN_HELD);
+        assert_true(pair_submit("req-90004", team, "standing", 1));
+        char *record;
+        start = base_now();
+        while (!(record = standin_state_value("run/req-90004/0")) && base_since(start) < 10)
+            base_sleep(base_span(0.005));
+        assert_non_null(record);
+        g_free(record);
+    }
+    if (!rows[row].island && !rows[row].of_other) standin_workers_turn_to(0);
+    standin_state_shut(true);
+    struct timespec refused = base_now();
+    if (rows[row].island) standin_workers_reach(-1, STANDIN_ISLAND);
+    cancel("req-90001");
+    cancel("req-90002");
+    if (rows[row].held) cancel("req-90004");
+    struct timespec told = base_now();
+    if (rows[row].hang) standin_workers_reach(hanging, STANDIN_HANGS);
+    if (rows[row].end_other) pair_end(1);
+    pair_wait(refused, REFUSED_S);
+    standin_state_trouble(STANDIN_OUTAGE);
+    struct timespec out = base_now();
+    int starts = -1, begun = 0;
+    while (base_since(told) < PAIR_CANCEL_S) {
+        begun |= running("req-90002", 1);
+        if (starts < 0 && base_since(told) > KNOWN_S) starts = standin_workers_starts();
+        if (rows[row].turn && base_since(told) > 2 && base_since(told) < 2.1) standin_workers_turn_to(1);
+        if (rows[row].hang && base_since(told) > PAIR_LEASE_S * 0.8) standin_workers_reach(hanging, STANDIN_WELL);
+        if (rows[row].held && base_since(told) > 6) standin_workers_reach(-1, STANDIN_WELL);
+        base_sleep(base_span(0.02));
+    }
+    assert_int_equal(running("req-90001", 2), 0);
+    /* A fetch that goes on would begin it by itself. Where nobody who knows can reach the machine, it may: then only
+     * the bound of the answers holds. */
+    if (!rows[row].end_other && !rows[row].island && !rows[row].held) assert_int_equal(begun, 0);
+    assert_int_equal(running("req-90004", 1), 0);
+    assert_int_equal(standin_workers_starts(), starts); /* the store is out: nothing new can have been decided */
+    pair_wait(out, rows[row].outage_s);
+    standin_workers_reach(-1, STANDIN_WELL);
+    standin_state_trouble(STANDIN_NONE);
+    standin_state_shut(false);
+    if (rows[row].end_other) pair_begin(1);
+    assert_true(pair_runs("req-90003/0", 1, 20)); /* it was not cancelled */
+    assert_int_equal(running("req-90001", 2) + running("req-90002", 1) + running("req-90004", 1), 0);
+    assert_int_equal(standin_workers_most(), 1);
+}
+
+int main(int argc, char **argv) {
+    row = argc > 2 ? (size_t)atoi(argv[2]) : 0;
+    if (row >= G_N_ELEMENTS(rows) || argc < 2 || !pair_start(argv[1])) return 2;
+    const struct CMUnitTest tests[] = {{rows[row].what, gap, NULL, NULL, NULL}};
+    int rc = cmocka_run_group_tests(tests, NULL, NULL);
+    pair_clear();
+    return rc;
+}
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -87,9 +87,24 @@
     }
 }
 
+/* One that names another machine, or whose tasks can't be read, proves nothing: taken for an empty list it would
+ * release all that runs there. An address may have passed to another machine since it was recorded. */
+static bool readable(const struct machine *m, const cJSON *report) {
+    const char *id = base_str(report, "host");
+    if (id && strcmp(id, m->id) != 0) return false;
+    const cJSON *x, *tasks = cJSON_GetObjectItemCaseSensitive(report, "tasks");
+    if (!cJSON_IsArray(tasks)) return false;
+    int64_t attempt;
+    cJSON_ArrayForEach(x, tasks) if (!base_str(x, "task") || !base_int(x, "try", &attempt)) return false;
+    return true;
+}
+
 bool workers_report(struct machine *m, const cJSON *report, bool checkin) {
     int64_t tenure = 0, seq = 0, fence = 0;
-    if (!base_int(report, "tenure", &tenure) || !base_int(report, "seq", &seq)) return false;
+    if (!base_int(report, "tenure", &tenure) || !base_int(report, "seq", &seq) || !readable(m, report)) {
+        log_debug("machine %s: a report that can't be read", m->id);
+        return false;
+    }
     base_int(report, "fence", &fence);
     /* A copy of what is known already, or of something older. */
     if (tenure < m->tenure || (tenure == m->tenure && seq <= m->seq)) return false;
@@ -209,9 +224,16 @@
     cJSON_AddItemToArray(list, o);
 }
 
+/* Booked by us and not yet shown by the worker. */
+static bool waits_for_start(const struct booking *b) {
+    return !b->over && !b->stop && !b->seen && !b->inherited && b->job->state == JOB_QUEUED && !b->m->returning &&
+           !b->m->want_return;
+}
+
 cJSON *workers_orders(struct machine *m, bool direct) {
     cJSON *list = cJSON_CreateArray();
     bool ours = m->seen_fence >= records_token(m); /* first the token, then orders, but for stops that can't wait */
+    bool may_start = membership_may_start();
     for (guint i = 0; i < m->strays->len && i < 200; i++) {
         struct stray *s = &g_array_index(m->strays, struct stray, i);
         /* As long as the worker lists an attempt, a start of it that still comes does nothing. */
@@ -230,7 +252,7 @@
             if (b->seen && (!direct || !b->stop_sent || b->grace_s <= 0))
                 add_order(list, "stop", task, b->attempt, b->grace_s);
             b->stop_sent = true;
-        } else if (!b->seen && !b->inherited && b->job->state == JOB_QUEUED && !m->returning && !m->want_return) {
+        } else if (may_start && waits_for_start(b)) {
             add_order(list, "run", task, b->attempt, -1);
             if (!direct) {
                 b->ordered++;
@@ -264,6 +286,26 @@
            !peers_reach(owner);
 }
 
+/* A start that the owner sent before it learned of the cancellation may be held up on its way into the zone. Our own
+ * look may be later than the cancellation: kept alive, the session would take that start after cancel_s. */
+bool workers_start_in_doubt(const struct machine *m, const cJSON *report) {
+    for (guint i = 0; i < m->bookings->len; i++) {
+        const struct booking *b = m->bookings->pdata[i];
+        if (b->job->state != JOB_CANCELLED) continue;
+        char task[96];
+        const cJSON *x;
+        bool listed = false;
+        snprintf(task, sizeof task, "%s/%d", b->job->spec.uid, b->task);
+        cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(report, "tasks")) {
+            int64_t attempt = 0;
+            const char *name = base_str(x, "task");
+            listed |= name && strcmp(name, task) == 0 && base_int(x, "try", &attempt) && attempt == b->attempt;
+        }
+        if (!listed) return true;
+    }
+    return false;
+}
+
 cJSON *workers_stand_in_answer(struct machine *m, const cJSON *report) {
     cJSON *a = cJSON_CreateObject(), *orders = cJSON_CreateArray();
     list_cancelled(m, report);
@@ -304,7 +346,7 @@
         const struct share *s = membership_share(m->share);
         int64_t fence = 0;
         base_int(o, "fence", &fence);
-        if (fence <= records_token(m) && workers_stand_in(m))
+        if (fence <= records_token(m) && workers_stand_in(m) && !workers_start_in_doubt(m, o))
             http_reply_json(r, 200, workers_stand_in_answer(m, o), 0);
         else if (strcmp(s->owner, cfg->node) == 0)
             http_reply(r, 503, NULL, 1);
@@ -367,6 +409,7 @@
 struct letter {
     char id[64], address[64];
     char *body;
+    cJSON *ends; /* stops of cancelled tasks on another's machine; then there is no body */
     bool has_run;
     int64_t fence, tenure, owned;
     struct timespec decided;
@@ -374,8 +417,8 @@
 
 /* A controller that stood still between decision and sending, or whose queue is long, does not send what it decided
  * then: a start may have been given up meanwhile, or its job cancelled. */
-bool workers_still_good(bool has_run, double age_s, bool ours, bool verified) {
-    return !has_run || (age_s < ORDER_S && ours && verified);
+bool workers_still_good(bool has_run, double age_s, bool ours, bool may_start) {
+    return !has_run || (age_s < ORDER_S && ours && may_start);
 }
 
 static bool still_good(const struct letter *l) {
@@ -383,7 +426,7 @@
     store_lock();
     struct machine *m = records_find(l->id);
     bool good = workers_still_good(true, base_since(l->decided), m && records_mine(m) && m->owned_fence == l->owned,
-                                   membership_verified());
+                                   membership_may_start());
     store_unlock();
     return good;
 }
@@ -425,6 +468,62 @@
     store_unlock();
 }
 
+#define END_AGAIN_S 2.0
+#define END_TRIES 5
+
+/* The owner of a cancelled job's machines may be the one that can't see the store, and then may not learn of the
+ * cancellation for as long as the store is away: a task that still fetches would begin by itself. Whoever told the user
+ * so orders the end, under the owner's token, as soon as the store is away. It is only quicker: the owner's own bound
+ * holds without it. */
+static void end_cancelled_elsewhere(struct machine *m) {
+    cJSON *orders = NULL;
+    if (!m->address[0] || m->bookings->len == 0 || base_since(m->asked_to_end) < END_AGAIN_S) return;
+    for (guint i = 0; i < m->bookings->len && i < 200; i++) {
+        struct booking *b = m->bookings->pdata[i];
+        char task[96];
+        if (b->over || !b->job->told_cancelled || b->asked_to_end >= END_TRIES) continue;
+        snprintf(task, sizeof task, "%s/%d", b->job->spec.uid, b->task);
+        if (!orders) orders = cJSON_CreateArray();
+        add_order(orders, "stop", task, b->attempt, 0);
+        b->asked_to_end++;
+    }
+    if (!orders) return;
+    m->asked_to_end = base_now();
+    struct letter *l = g_new0(struct letter, 1);
+    g_strlcpy(l->id, m->id, sizeof l->id);
+    g_strlcpy(l->address, m->address, sizeof l->address);
+    l->fence = records_token(m);
+    l->tenure = m->tenure > 0 ? m->tenure : 1;
+    l->ends = orders;
+    post(&outbox, l);
+}
+
+/* Sends stops to another's machine, a second time if it is in another session than we know. */
+static void send_ends(struct http_client *c, const struct letter *l) {
+    char url[160];
+    int64_t tenure = l->tenure;
+    snprintf(url, sizeof url, "http://%s/commands", l->address);
+    for (int i = 0; i < 2; i++) {
+        long status = 0;
+        cJSON *a = NULL, *o = cJSON_CreateObject();
+        cJSON_AddNumberToObject(o, "fence", (double)l->fence);
+        cJSON_AddNumberToObject(o, "tenure", (double)tenure);
+        cJSON_AddItemReferenceToObject(o, "orders", l->ends);
+        char *body = cJSON_PrintUnformatted(o);
+        cJSON_Delete(o);
+        bool answered = http_call(c, "POST", url, body, ANSWER_MS, &status, &a) == HTTP_ANSWERED;
+        free(body);
+        log_debug("machine %s: asked to end cancelled tasks, %ld", l->id, status);
+        int64_t shown = 0;
+        const char *host = base_str(a, "host");
+        bool again = answered && status == 409 && host && strcmp(host, l->id) == 0 && base_int(a, "tenure", &shown) &&
+                     shown != tenure;
+        tenure = shown;
+        cJSON_Delete(a);
+        if (!again) break;
+    }
+}
+
 static void *sender_main(void *arg) {
     struct job_queue *q = arg;
     struct http_client *c = http_client_new();
@@ -436,6 +535,12 @@
         char url[160];
         long status;
         cJSON *a = NULL;
+        if (l->ends) {
+            send_ends(c, l);
+            cJSON_Delete(l->ends);
+            g_free(l);
+            continue;
+        }
         if (!l->body) {
             snprintf(url, sizeof url, "http://%s/inspect", l->address);
             if (http_call(c, "GET", url, NULL, ANSWER_MS, &status, &a) == HTTP_ANSWERED && status == 200)
@@ -447,7 +552,10 @@
         snprintf(url, sizeof url, "http://%s/commands", l->address);
         struct timespec sent = base_now();
         bool good = still_good(l);
-        enum http_outcome out = good ? http_call(c, "POST", url, l->body, ANSWER_MS, &status, &a) : HTTP_NOT_SENT;
+        /* A start whose first copy is still on its way must not be taken for known because its second was answered. */
+        enum http_outcome out = !good        ? HTTP_NOT_SENT
+                                : l->has_run ? http_call_once(c, "POST", url, l->body, ANSWER_MS, &status, &a)
+                                             : http_call(c, "POST", url, l->body, ANSWER_MS, &status, &a);
         /* A controller that stood still or is short of its processor time learns nothing from a late look. */
         bool in_time = base_since(sent) < ANSWER_MS / 1000.0 + 0.3;
         store_lock();
@@ -481,8 +589,10 @@
 static void post_letters(void) {
     store_lock();
     GPtrArray *ms = records_machines();
+    bool may_start = membership_may_start();
     for (guint i = 0; i < ms->len; i++) {
         struct machine *m = ms->pdata[i];
+        if (store_away() && m->known && !records_mine(m)) end_cancelled_elsewhere(m);
         if ((!m->kick && !m->hello) || !records_mine(m)) continue;
         if (!m->address[0] || m->sending || (m->unknown && !m->hello) || m->dead || (!m->up && !m->hello)) continue;
         if (!membership_verified()) continue;
@@ -492,6 +602,8 @@
         m->hello = m->kick = false;
         if (!hello && m->seen_fence < records_token(m)) hello = true;
         cJSON *orders = hello ? cJSON_CreateArray() : workers_orders(m, true);
+        /* What must wait for a look at the store goes as soon as there is one. */
+        for (guint b = 0; !may_start && b < m->bookings->len; b++) m->kick |= waits_for_start(m->bookings->pdata[b]);
         if (!hello && cJSON_GetArraySize(orders) == 0) {
             cJSON_Delete(orders);
             continue;
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -8,10 +8,11 @@
 void workers_kick(void);
 bool workers_route(struct http_req *r);
 bool workers_stand_in(const struct machine *m); /* with store_lock held: answer for an owner that the zone lost */
+bool workers_start_in_doubt(const struct machine *m, const cJSON *report);
 cJSON *workers_stand_in_answer(struct machine *m, const cJSON *report);
 
 /* Pure: whether orders decided so long ago may still be sent. */
-bool workers_still_good(bool has_run, double age_s, bool ours, bool verified);
+bool workers_still_good(bool has_run, double age_s, bool ours, bool may_start);
 
 /* With store_lock held. Takes in a report. checkin: false for the body of a direct command's answer, which proves
  * nothing about orders that may still travel in a report's answer. False: the report is older than what is known. */
--- a/tests/standin/state.c
+++ b/tests/standin/state.c
@@ -24,6 +24,14 @@
 };
 static int64_t epoch = 1, next_lease = 1;
 static enum standin_trouble trouble;
+static double late_s; /* > 0: every second transaction that writes gets no answer and is carried out that much later */
+static double slow_s;
+static unsigned written;
+struct late {
+    cJSON *body;
+    struct timespec due;
+};
+static GQueue *late;
 
 static int by_key(gconstpointer a, gconstpointer b, gpointer d) {
     (void)d;
@@ -128,6 +136,17 @@
     return 200;
 }
 
+static void carry_out_late(void) {
+    for (struct late *l; (l = g_queue_peek_head(late)) && base_since(l->due) >= 0;) {
+        cJSON *out = cJSON_CreateObject();
+        g_queue_pop_head(late);
+        multi(l->body, out);
+        cJSON_Delete(out);
+        cJSON_Delete(l->body);
+        g_free(l);
+    }
+}
+
 static gboolean list_row(gpointer k, gpointer v, gpointer data) {
     struct row *r = v;
     cJSON *x = cJSON_CreateObject();
@@ -160,14 +179,25 @@
     cJSON *body = cJSON_ParseWithLength(http_body(r, &len), strlen(http_body(r, NULL))), *out = cJSON_CreateObject();
     unsigned status = 200;
     pthread_mutex_lock(&lock);
+    double wait = slow_s;
+    pthread_mutex_unlock(&lock);
+    if (wait > 0) base_sleep(base_span(wait)); /* one thread serves all: everybody waits */
+    pthread_mutex_lock(&lock);
     g_hash_table_insert(calls, g_strdup(p), GINT_TO_POINTER(GPOINTER_TO_INT(g_hash_table_lookup(calls, p)) + 1));
     bool is_multi = strcmp(p, "/multi") == 0;
     end_leases();
+    carry_out_late();
     if (trouble == STANDIN_OUTAGE || (second_door && door_shut)) {
         status = 503;
     } else if (is_multi && trouble == STANDIN_BUDGET) {
         status = 429;
         trouble = STANDIN_NONE;
+    } else if (is_multi && late_s > 0 && cJSON_GetArraySize(cJSON_GetObjectItem(body, "then")) && ++written % 2 == 0) {
+        struct late *l = g_new0(struct late, 1);
+        l->body = cJSON_Duplicate(body, true);
+        l->due = base_wall_in(base_span(late_s));
+        g_queue_push_tail(late, l);
+        status = 500;
     } else if (is_multi) {
         status = multi(body, out);
         if (trouble == STANDIN_LOST_ANSWER) {
@@ -215,6 +245,7 @@
 bool standin_state_start(const char *address) {
     rows = g_tree_new_full(by_key, NULL, g_free, row_free);
     events = g_ptr_array_new();
+    late = g_queue_new();
     leases = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     calls = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     return http_serve(address, 64, on_request, NULL) != NULL;
@@ -250,6 +281,7 @@
 
 char *standin_state_value(const char *key) {
     pthread_mutex_lock(&lock);
+    end_leases();
     struct row *r = g_tree_lookup(rows, key);
     char *t = r ? g_strdup(r->text) : NULL;
     pthread_mutex_unlock(&lock);
@@ -262,3 +294,15 @@
     pthread_mutex_unlock(&lock);
     return n;
 }
+
+void standin_state_late(double seconds) {
+    pthread_mutex_lock(&lock);
+    late_s = seconds;
+    pthread_mutex_unlock(&lock);
+}
+
+void standin_state_slow(double seconds) {
+    pthread_mutex_lock(&lock);
+    slow_s = seconds;
+    pthread_mutex_unlock(&lock);
+}
--- a/tests/standin/state.h
+++ b/tests/standin/state.h
@@ -15,6 +15,10 @@
 bool standin_state_second_door(const char *address);
 void standin_state_shut(bool shut);
 void standin_state_trouble(enum standin_trouble t);
+/* Every second transaction that writes gets no useful answer and is carried out that much later, after newer ones; 0:
+ * none. */
+void standin_state_late(double seconds);
+void standin_state_slow(double seconds);                   /* every answer takes that long; 0: none does */
 void standin_state_put(const char *key, const char *json); /* as another controller would */
 void standin_state_remove(const char *key);
 char *standin_state_value(const char *key); /* NULL: not there; g_free */
