--- /dev/null
+++ b/src/service/service_meetings_test.c
@@ -0,0 +1,362 @@
+/* Meetings of troubles, two real controllers against stand-ins: docs/meetings.md says which is which. One row a run:
+ * the stand-ins begin from nothing. Every row ends with what holds for all: no task ever on two machines. */
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../tests/standin/fleet.h"
+#include "../../tests/standin/pair.h"
+#include "../../tests/standin/site.h"
+#include "../../tests/standin/state.h"
+
+static char last_state[32];
+
+static long cancel(int first, const char *uid) {
+    char path[64];
+    long status = 0;
+    g_snprintf(path, sizeof path, "/work/%s/cancel", uid);
+    struct timespec start = base_now();
+    while (status != 200 && base_since(start) < 5) {
+        status = pair_ask(first, "POST", path, "{}", last_state, sizeof last_state);
+        if (status != 200) base_sleep(base_span(0.05));
+    }
+    return status;
+}
+
+static long poll_one(int i, const char *uid) {
+    char path[64];
+    g_snprintf(path, sizeof path, "/work/%s", uid);
+    return pair_ask_one(i, "GET", path, NULL, last_state, sizeof last_state);
+}
+
+static bool gone(const char *task, double within) { return pair_runs(task, 0, within); }
+
+/* A job that runs on, of the team whose share that controller owns. */
+static void long_job(const char *uid, int owner, int tasks) {
+    char task[64];
+    assert_non_null(pair_team_of(owner));
+    assert_true(pair_submit(uid, pair_team_of(owner), "standing", tasks));
+    for (int t = 0; t < tasks; t++) {
+        g_snprintf(task, sizeof task, "%s/%d", uid, t);
+        assert_true(pair_runs(task, 1, 20));
+    }
+}
+
+/* A machine that reaches no controller, while commands reach it: what was cancelled ends at once, the rest elsewhere
+ * once its lease is over. */
+static void mute(void) {
+    long_job("req-90001", 1, 2);
+    long_job("req-90002", 1, 2);
+    int on = standin_workers_on("req-90001/0");
+    standin_workers_reach(on, STANDIN_MUTE);
+    assert_int_equal(cancel(1, "req-90001"), 200);
+    assert_true(gone("req-90001/0", 3));
+    base_sleep(base_span(PAIR_LEASE_S + 1));
+    assert_true(pair_runs("req-90002/0", 1, 25) && pair_runs("req-90002/1", 1, 25));
+}
+
+/* A store whose every answer takes long, while users submit, cancel and ask: an answer is right, or it is none. */
+static void slow_store(void) {
+    long_job("req-90001", 0, 1);
+    standin_state_slow(0.15);
+    assert_int_equal(cancel(0, "req-90001"), 200);
+    struct timespec told = base_now();
+    while (base_since(told) < PAIR_CANCEL_S) {
+        for (int i = 0; i < 2; i++)
+            if (poll_one(i, "req-90001") == 200) assert_string_equal(last_state, "cancelled");
+        base_sleep(base_span(0.05));
+    }
+    assert_int_equal(standin_workers_running("req-90001/0"), 0);
+    standin_state_slow(0);
+    assert_true(pair_submit("req-10002", "red", "batch", 3));
+    assert_true(pair_becomes("req-10002", "done", 30));
+}
+
+/* The tasks of one job end far apart, and its owner changes in between: it is done when the last is. */
+static void ends_apart(void) {
+    const char *team = pair_team_of(0);
+    standin_workers_fetch("req-10001/2", 7);
+    assert_true(pair_submit("req-10001", team, "batch", 3));
+    struct timespec start = base_now();
+    while (!standin_workers_holding("req-10001/2") && base_since(start) < 15) base_sleep(base_span(0.02));
+    struct timespec held = base_now();
+    base_sleep(base_span(1.5)); /* the others have ended by now */
+    pair_end(0);
+    while (base_since(held) < 6.5) {
+        if (poll_one(1, "req-10001") == 200) assert_string_not_equal(last_state, "done");
+        base_sleep(base_span(0.1));
+    }
+    pair_begin(0);
+    assert_true(pair_becomes("req-10001", "done", 30));
+    assert_int_equal(poll_one(0, "req-10001"), 200);
+    assert_string_equal(last_state, "done");
+}
+
+/* Commands are held up for seconds, and then executed, while the machine goes on: some of what they start was given up.
+ */
+static void held_commands(void) {
+    long_job("req-90001", 0, 2);
+    standin_workers_reach(-1, STANDIN_HELD);
+    assert_true(pair_submit("req-90002", pair_team_of(0), "standing", 3));
+    base_sleep(base_span(1.5));
+    assert_int_equal(cancel(0, "req-90002"), 200);
+    struct timespec told = base_now();
+    assert_true(pair_submit("req-90003", pair_team_of(0), "standing", 2));
+    base_sleep(base_span(2.5));
+    standin_workers_reach(-1, STANDIN_WELL);
+    pair_wait(told, PAIR_CANCEL_S);
+    assert_true(gone("req-90002/0", 0.1) && gone("req-90002/1", 0.1) && gone("req-90002/2", 0.1));
+    assert_true(pair_runs("req-90001/1", 1, 20) && pair_runs("req-90003/0", 1, 20) && pair_runs("req-90003/1", 1, 20));
+}
+
+/* A zone with its workers and a controller is cut off for longer than a lease; jobs are cancelled outside. */
+static void zone_cut(void) {
+    long_job("req-90001", 0, 2);
+    long_job("req-90002", 1, 1);
+    long_job("req-90003", 1, 1);
+    standin_workers_reach(-1, STANDIN_ISLAND);
+    standin_state_shut(true);
+    struct timespec cut = base_now();
+    assert_int_equal(cancel(1, "req-90001"), 200);
+    assert_int_equal(cancel(1, "req-90002"), 200);
+    struct timespec told = base_now();
+    pair_wait(cut, PAIR_LEASE_S + 2);
+    pair_wait(told, PAIR_CANCEL_S);
+    assert_true(gone("req-90001/0", 0.1) && gone("req-90001/1", 0.1) && gone("req-90002/0", 0.1));
+    standin_workers_reach(-1, STANDIN_WELL);
+    standin_state_shut(false);
+    assert_true(pair_runs("req-90003/0", 1, 25));
+}
+
+struct asked {
+    const char *uid;
+    int at;
+    bool cancels;
+    char state[32];
+    long status;
+};
+static void *ask_main(void *arg) {
+    struct asked *a = arg;
+    char path[64];
+    g_snprintf(path, sizeof path, a->cancels ? "/work/%s/cancel" : "/work/%s", a->uid);
+    a->status =
+        pair_ask_one(a->at, a->cancels ? "POST" : "GET", path, a->cancels ? "{}" : NULL, a->state, sizeof a->state);
+    return NULL;
+}
+
+/* A cancel and a question meet the end of a job's last task, at two controllers: what anyone was told of the end stays.
+ */
+static void at_the_end(void) {
+    for (int i = 0; i < 12; i++) {
+        char uid[32], told[32] = "";
+        g_snprintf(uid, sizeof uid, "req-10%03d", i);
+        assert_true(pair_submit(uid, pair_team_of(i % 2), "batch", 1 + i % 3));
+        struct timespec start = base_now();
+        char task[48];
+        g_snprintf(task, sizeof task, "%s/0", uid);
+        while (!standin_workers_holding(task) && base_since(start) < 15) base_sleep(base_span(0.01));
+        base_sleep(base_span(0.55 + 0.03 * i)); /* it runs for 0.6 s, and is reported within 0.2 */
+        struct asked asks[3] = {{uid, i % 2, true, "", 0}, {uid, 1 - i % 2, false, "", 0}, {uid, 1, false, "", 0}};
+        pthread_t t[3];
+        for (int n = 0; n < 3; n++) assert_int_equal(pthread_create(&t[n], NULL, ask_main, &asks[n]), 0);
+        for (int n = 0; n < 3; n++) {
+            pthread_join(t[n], NULL);
+            bool final =
+                asks[n].status == 200 && (!strcmp(asks[n].state, "done") || !strcmp(asks[n].state, "cancelled"));
+            if (final && *told) assert_string_equal(asks[n].state, told);
+            if (final) g_strlcpy(told, asks[n].state, sizeof told);
+        }
+        assert_int_equal(cancel(1, uid), 200); /* repeated as users do: it gets the same answer */
+        if (*told) assert_string_equal(last_state, told);
+        g_strlcpy(told, last_state, sizeof told);
+        for (int n = 0; n < 2; n++) {
+            assert_int_equal(poll_one(n, uid), 200);
+            assert_string_equal(last_state, told);
+        }
+        assert_true(pair_submit(uid, "red", "batch", 1)); /* a repetition, and not even the same */
+        assert_int_equal(poll_one(i % 2, uid), 200);
+        assert_string_equal(last_state, told);
+    }
+}
+
+/* A team is at its limit when its owner ends; one of its machines can't be asked, and a job of it is cancelled. */
+static void at_the_limit(void) {
+    int owner = pair_team_of(0) && !strcmp(pair_team_of(0), "red") ? 0 : 1; /* green's share is red's */
+    standin_workers_watch("req-90");
+    assert_true(pair_submit("req-90001", "green", "standing", 3));
+    assert_true(pair_runs("req-90001/0", 1, 20) && pair_runs("req-90001/2", 1, 20));
+    assert_true(pair_submit("req-90002", "green", "standing", 3));
+    struct timespec start = base_now();
+    while (standin_workers_running("req-90002/0") + standin_workers_running("req-90002/1") +
+                   standin_workers_running("req-90002/2") <
+               1 &&
+           base_since(start) < 20)
+        base_sleep(base_span(0.05));
+    int on = standin_workers_on("req-90001/0");
+    standin_workers_reach(on, STANDIN_HANGS);
+    pair_end(owner);
+    assert_int_equal(cancel(1 - owner, "req-90001"), 200);
+    struct timespec told = base_now();
+    pair_wait(told, PAIR_LEASE_S - 1);
+    standin_workers_reach(on, STANDIN_WELL);
+    pair_wait(told, PAIR_CANCEL_S);
+    assert_true(gone("req-90001/0", 0.1) && gone("req-90001/1", 0.1) && gone("req-90001/2", 0.1));
+    for (int t = 0; t < 3; t++) {
+        char task[32];
+        g_snprintf(task, sizeof task, "req-90002/%d", t);
+        assert_true(pair_runs(task, 1, 25));
+    }
+    assert_true(standin_workers_peak() <= 4);
+    pair_begin(owner);
+}
+
+/* The leader loses the store and the other controllers, not its users: it tells nothing that is older than what the
+ * other told. */
+static void cut_leader_asked(void) {
+    long_job("req-90001", 0, 1);
+    long_job("req-90002", 0, 1);
+    standin_state_shut(true);
+    struct timespec cut = base_now();
+    assert_int_equal(cancel(1, "req-90001"), 200);
+    while (base_since(cut) < PAIR_CANCEL_S + 1) {
+        if (poll_one(0, "req-90001") == 200) assert_string_equal(last_state, "cancelled");
+        assert_int_equal(poll_one(1, "req-90001"), 200);
+        assert_string_equal(last_state, "cancelled");
+        base_sleep(base_span(0.1));
+    }
+    assert_true(gone("req-90001/0", 0.1));
+    standin_state_shut(false);
+    assert_true(pair_runs("req-90002/0", 1, 25));
+}
+
+/* An owner ends while a machine with a long task hears no answer of anybody: it is given back, and only then does its
+ * task begin elsewhere. */
+static void deaf_at_takeover(void) {
+    long_job("req-90001", 0, 1);
+    long_job("req-90002", 0, 4);
+    int on = standin_workers_on("req-90001/0");
+    standin_workers_reach(on, STANDIN_DEAF);
+    pair_end(0);
+    struct timespec ended = base_now();
+    pair_wait(ended, 5);
+    assert_true(pair_runs("req-90001/0", 1, 30));
+    assert_true(standin_workers_on("req-90001/0") != on);
+    pair_begin(0);
+}
+
+/* Ten changes of leader, also inside an outage. */
+static void ten_leaders(void) {
+    long_job("req-90001", 0, 2);
+    for (int i = 0; i < 10; i++) {
+        int led = pair_leads(0) ? 0 : 1;
+        pair_end(led);
+        pair_begin(led);
+        if (i == 4) standin_state_trouble(STANDIN_OUTAGE);
+        base_sleep(base_span(i % 3 ? 0.4 : 1.2));
+        if (i == 6) standin_state_trouble(STANDIN_NONE);
+        if (i == 7) assert_true(pair_submit("req-10002", "blue", "batch", 6));
+    }
+    assert_true(pair_becomes("req-10002", "done", 30));
+    assert_true(pair_runs("req-90001/0", 1, 20) && pair_runs("req-90001/1", 1, 20));
+}
+
+/* Every second change of the store gets no answer and is carried out after newer ones; an owner ends in between. */
+static void late_transactions(void) {
+    long_job("req-90001", 0, 2);
+    standin_state_late(1.5);
+    for (int i = 0; i < 6; i++) {
+        char uid[32];
+        g_snprintf(uid, sizeof uid, "req-10%03d", i);
+        assert_true(pair_submit(uid, i % 2 ? "red" : "blue", "batch", 3));
+    }
+    assert_int_equal(cancel(1, "req-90001"), 200);
+    struct timespec told = base_now();
+    pair_end(0);
+    base_sleep(base_span(0.5));
+    pair_begin(0);
+    pair_wait(told, PAIR_CANCEL_S);
+    assert_true(gone("req-90001/0", 0.1) && gone("req-90001/1", 0.1));
+    standin_state_late(0);
+    for (int i = 0; i < 6; i++) {
+        char uid[32];
+        g_snprintf(uid, sizeof uid, "req-10%03d", i);
+        assert_true(pair_becomes(uid, "done", 40));
+    }
+    assert_int_equal(poll_one(1, "req-90001"), 200);
+    assert_string_equal(last_state, "cancelled");
+}
+
+/* Of every report a copy comes seconds later, to the other controller, which may have taken over meanwhile. */
+static void late_reports(void) {
+    standin_workers_copies(2.5);
+    long_job("req-90001", 0, 3);
+    assert_true(pair_submit("req-10002", pair_team_of(0), "batch", 8));
+    base_sleep(base_span(1));
+    pair_end(0);
+    assert_int_equal(cancel(1, "req-90001"), 200);
+    struct timespec told = base_now();
+    assert_true(pair_submit("req-90003", "red", "standing", 2));
+    assert_true(pair_becomes("req-10002", "done", 30));
+    pair_begin(0);
+    pair_wait(told, PAIR_CANCEL_S);
+    assert_true(gone("req-90001/0", 0.1) && gone("req-90001/1", 0.1) && gone("req-90001/2", 0.1));
+    assert_true(pair_runs("req-90003/0", 1, 20) && pair_runs("req-90003/1", 1, 20));
+    standin_workers_copies(0);
+}
+
+/* All controllers are away for longer than a lease. */
+static void all_away(void) {
+    long_job("req-90001", 0, 2);
+    long_job("req-90002", 1, 1);
+    assert_int_equal(cancel(1, "req-90002"), 200);
+    pair_end(0);
+    pair_end(1);
+    struct timespec ended = base_now();
+    pair_wait(ended, PAIR_LEASE_S + 2);
+    assert_int_equal(standin_workers_running("req-90001/0"), 0);
+    pair_begin(0);
+    pair_begin(1);
+    assert_true(pair_runs("req-90001/0", 1, 25) && pair_runs("req-90001/1", 1, 25));
+    assert_int_equal(standin_workers_running("req-90002/0"), 0);
+    assert_true(pair_becomes("req-90002", "cancelled", 5));
+}
+
+static const struct {
+    const char *what;
+    void (*bring_about)(void);
+    int leader;
+} rows[] = {
+    {"mute", mute, 0},
+    {"slow store", slow_store, 0},
+    {"ends far apart", ends_apart, 0},
+    {"held commands", held_commands, 0},
+    {"a zone cut off", zone_cut, 0},
+    {"at the end", at_the_end, 0},
+    {"a team at its limit", at_the_limit, 0},
+    {"a cut leader is asked", cut_leader_asked, 0},
+    {"deaf at a takeover", deaf_at_takeover, 0},
+    {"ten leaders", ten_leaders, 0},
+    {"late transactions", late_transactions, 0},
+    {"late reports", late_reports, 0},
+    {"all away", all_away, 0},
+};
+static size_t row;
+
+static void meeting(void **state) {
+    (void)state;
+    assert_true(pair_begin_led_by(rows[row].leader));
+    rows[row].bring_about();
+    assert_int_equal(standin_workers_most(), 1);
+    assert_int_equal(standin_cloud_claims_reused(), 0);
+    assert_int_equal(standin_state_unguarded(), 0);
+}
+
+int main(int argc, char **argv) {
+    row = argc > 2 ? (size_t)atoi(argv[2]) : 0;
+    if (row >= G_N_ELEMENTS(rows) || argc < 2 || !pair_start(argv[1], 20 + (int)row)) return 2;
+    standin_cloud_willing();
+    const struct CMUnitTest tests[] = {{rows[row].what, meeting, NULL, NULL, NULL}};
+    int rc = cmocka_run_group_tests(tests, NULL, NULL);
+    pair_clear();
+    return rc;
+}
--- a/src/workers/workers_test.c
+++ b/src/workers/workers_test.c
@@ -386,6 +386,129 @@
     }
 }
 
+/* Reports that can't be read, or come from elsewhere, are no news: nothing is released, nobody is alive by them. */
+static void unreadable(void **state) {
+    (void)state;
+    int64_t f = membership_share(0)->fence;
+    static const struct {
+        const char *what, *report;
+        bool news;
+    } rows[] = {
+        {"good", "{\"host\":\"i-000980\",\"tenure\":1,\"seq\":%d,\"fence\":%lld,\"tasks\":[]}", true},
+        {"another machine at the address", "{\"host\":\"i-7\",\"tenure\":1,\"seq\":%d,\"fence\":%lld,\"tasks\":[]}",
+         false},
+        {"no tasks", "{\"host\":\"i-000980\",\"tenure\":1,\"seq\":%d,\"fence\":%lld}", false},
+        {"tasks that are no list", "{\"tenure\":1,\"seq\":%d,\"fence\":%lld,\"tasks\":{}}", false},
+        {"a task without a name", "{\"tenure\":1,\"seq\":%d,\"fence\":%lld,\"tasks\":[{\"try\":5}]}", false},
+        {"a task without an attempt",
+         "{\"tenure\":1,\"seq\":%d,\"fence\":%lld,\"tasks\":[{\"task\":\"req-10001/0\",\"state\":\"ended\"}]}", false},
+        {"a sequence that is no number", "{\"tenure\":1,\"seq\":\"%d\",\"fence\":%lld,\"tasks\":[]}", false},
+        {"no session", "{\"seq\":%d,\"fence\":%lld,\"tasks\":[]}", false},
+    };
+    store_lock();
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct machine *m = fresh("i-000980", 0, "req-10001", BOOKED("i-000980"), false);
+        struct booking *b = m->bookings->pdata[0];
+        assert_true(report(m, 1, 1, f, T("running"), true));
+        m->heard.tv_sec -= 20;
+        char json[300];
+#pragma GCC diagnostic push
+#pragma GCC diagnostic ignored "-Wformat-nonliteral"
+        g_snprintf(json, sizeof json, rows[i].report, 2, (long long)f);
+#pragma GCC diagnostic pop
+        cJSON *o = cJSON_Parse(json);
+        assert_non_null(o);
+        bool news = workers_report(m, o, true);
+        if (news != rows[i].news || b->over != rows[i].news || (base_since(m->heard) < 10) != rows[i].news)
+            fail_msg("%s: news %d, over %d", rows[i].what, news, b->over);
+        cJSON_Delete(o);
+        away("req-10001");
+    }
+    store_unlock();
+}
+
+/* Booked and not yet ordered when the store goes out of reach: workers are still answered, but nothing starts. */
+static void starts_need_a_look(void **state) {
+    (void)state;
+    store_lock();
+    int64_t f = membership_share(0)->fence;
+    struct machine *m = fresh("i-000981", 0, "req-10001", BOOKED("i-000981"), false);
+    assert_true(report(m, 1, 1, f, "", true));
+    assert_int_equal(orders(m, "run"), 1);
+    store_unlock();
+    standin_state_trouble(STANDIN_OUTAGE);
+    struct timespec start = base_now();
+    bool may = true, verified = true;
+    while (may && base_since(start) < 8) {
+        base_sleep(base_span(0.05));
+        store_lock();
+        may = membership_may_start();
+        verified = membership_verified();
+        store_unlock();
+    }
+    assert_false(may);
+    assert_true(verified);
+    assert_true(base_since(start) < 4);
+    store_lock();
+    assert_int_equal(orders(m, "run"), 0);
+    store_unlock();
+    standin_state_trouble(STANDIN_NONE);
+    start = base_now();
+    while (!may && base_since(start) < 8) {
+        base_sleep(base_span(0.05));
+        store_lock();
+        may = membership_may_start();
+        store_unlock();
+    }
+    store_lock();
+    assert_int_equal(orders(m, "run"), 1);
+    away("req-10001");
+    store_unlock();
+}
+
+/* A start of a cancelled job that the owner may have sent before it knew: a stand-in must not keep the session alive
+ * for it. */
+static void start_in_doubt(void **state) {
+    (void)state;
+    static const struct {
+        const char *what, *tasks;
+        bool cancelled, doubt;
+    } rows[] = {
+        {"runs", T("running"), true, false},
+        {"ended, on record still", T("ended"), true, false},
+        {"not listed", "", true, true},
+        {"listed under another attempt", "{\"task\":\"req-10001/0\",\"try\":4,\"state\":\"running\"}", true, true},
+        {"not cancelled", "", false, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char uid[32], key[48], tasks[200], booked[48], id[32];
+        g_snprintf(uid, sizeof uid, "req-1060%zu", i);
+        g_snprintf(key, sizeof key, "job/%s", uid);
+        g_snprintf(id, sizeof id, "i-00099%zu", i);
+        g_snprintf(booked, sizeof booked, "0@%s+0", id);
+        g_snprintf(tasks, sizeof tasks, "{\"tasks\":[%s]}", rows[i].tasks);
+        char *at = strstr(tasks, "req-");
+        if (at) memcpy(at, uid, strlen(uid));
+        store_lock();
+        char *spec = site_with(SPEC("req-10601", "batch", "2"), "req-10601", uid);
+        put(key, spec, ++stamp);
+        struct machine *m = fresh(id, 0, uid, booked, true);
+        if (rows[i].cancelled) {
+            char *text = site_with(spec, "\"queued\"", "\"cancelled\"");
+            put(key, text, ++stamp);
+            g_free(text);
+        }
+        cJSON *o = cJSON_Parse(tasks);
+        assert_non_null(o);
+        bool doubt = workers_start_in_doubt(m, o);
+        cJSON_Delete(o);
+        away(uid);
+        store_unlock();
+        g_free(spec);
+        if (doubt != rows[i].doubt) fail_msg("%s: %d", rows[i].what, doubt);
+    }
+}
+
 /* Orders of a controller that stood still. */
 static void stood_still(void **state) {
     (void)state;
@@ -416,6 +539,9 @@
                                        cmocka_unit_test(first_answer),
                                        cmocka_unit_test(out_of_reach),
                                        cmocka_unit_test(under_way),
+                                       cmocka_unit_test(unreadable),
+                                       cmocka_unit_test(starts_need_a_look),
+                                       cmocka_unit_test(start_in_doubt),
                                        cmocka_unit_test(stands_in),
                                        cmocka_unit_test(stood_still)};
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/standin/fleet.h
+++ b/tests/standin/fleet.h
@@ -5,7 +5,8 @@
 
 bool standin_cloud_start(const char *address, const char *controller);
 int standin_cloud_rented(void);
-int standin_cloud_refused(void); /* it refuses the first three rentals, each in another way */
+int standin_cloud_refused(void);  /* it refuses the first three rentals, each in another way */
+void standin_cloud_willing(void); /* it refuses none */
 int standin_cloud_returned(void);
 int standin_cloud_claims_reused(void); /* a claim used for two different orders */
 
@@ -17,6 +18,10 @@
 int standin_workers_holding(const char *task); /* the same, and those that still fetch for it */
 int standin_workers_most(void);                /* the most machines that ever ran one task at the same time */
 int standin_workers_starts(void);
+void standin_workers_ports(int first); /* where machines listen; before the first is rented */
+/* The most tasks whose names begin so that were ever held at the same time, by any machine. */
+void standin_workers_watch(const char *prefix);
+int standin_workers_peak(void);
 int standin_workers_on(const char *task); /* index of a machine that holds it, -1: none */
 
 /* Tasks whose names begin so take that long to fetch; NULL: none. */
--- a/tests/standin/state.c
+++ b/tests/standin/state.c
@@ -98,6 +98,14 @@
     }
 }
 
+static int unguarded;
+
+static bool names_own(const cJSON *conds, const char *key) {
+    const cJSON *x;
+    cJSON_ArrayForEach(x, conds) if (strcmp(base_str(x, "path"), key) == 0) return true;
+    return false;
+}
+
 static unsigned multi(const cJSON *o, cJSON *out) {
     const cJSON *x, *then = cJSON_GetObjectItem(o, "then");
     cJSON *failed = cJSON_CreateArray();
@@ -108,6 +116,9 @@
             cJSON_AddItemToArray(failed, cJSON_CreateString(base_str(x, "path")));
     }
     cJSON_ArrayForEach(x, then) {
+        const char *key = base_str(x, "set") ? base_str(x, "set") : base_str(x, "remove");
+        bool held = g_str_has_prefix(key, "run/") || g_str_has_prefix(key, "fleet/");
+        unguarded += held && !names_own(cJSON_GetObjectItem(o, "if"), key);
         int64_t l = 0;
         if (base_int(x, "lease", &l) && !g_hash_table_contains(leases, GINT_TO_POINTER((int)l))) {
             cJSON_Delete(failed);
@@ -288,6 +299,13 @@
     return t;
 }
 
+int standin_state_unguarded(void) {
+    pthread_mutex_lock(&lock);
+    int n = unguarded;
+    pthread_mutex_unlock(&lock);
+    return n;
+}
+
 int standin_state_calls(const char *path) {
     pthread_mutex_lock(&lock);
     int n = GPOINTER_TO_INT(g_hash_table_lookup(calls, path));
--- a/tests/standin/state.h
+++ b/tests/standin/state.h
@@ -23,4 +23,5 @@
 void standin_state_remove(const char *key);
 char *standin_state_value(const char *key); /* NULL: not there; g_free */
 int standin_state_calls(const char *path);
+int standin_state_unguarded(void); /* changes of bookings or pages that don't name the stamp of what they replace */
 #endif
