--- a/src/bookings/bookings_test.c
+++ b/src/bookings/bookings_test.c
@@ -144,6 +144,47 @@
     g_array_free(plans, TRUE);
 }
 
+/* Records that name their stretch mean the same tasks whatever was read before, and what a conversion leaves of a task
+ * is the same booking. */
+static void stretches(void **state) {
+    (void)state;
+    put("job/req-20020", JOB("req-20020", "40", "queued"));
+    put("run/req-20020/0", "{\"d\":\"0100000000\",\"f\":50,\"b\":\"1@i-1+0 9@i-2+3 30@i-1+4 39@i-2+5\"}");
+    struct job *j = jobs_find("req-20020");
+    assert_int_equal(bookings_stretch(j), bookings_first_stretch());
+    assert_int_equal(bookings_count(j), 4);
+    const struct booking *kept = j->bookings->pdata[2];
+    static const char *const pieces[] = {"{\"n\":16,\"d\":\"0100\",\"f\":50,\"b\":\"1@i-1+0 9@i-2+3\"}",
+                                         "{\"n\":16,\"f\":54,\"b\":\"30@i-1+0\"}",
+                                         "{\"n\":16,\"f\":55,\"b\":\"39@i-2+0\"}"};
+    static const int orders[][3] = {{0, 1, 2}, {2, 1, 0}, {1, 0, 2}};
+    char key[64];
+    for (size_t o = 0; o < G_N_ELEMENTS(orders); o++) {
+        put("run/req-20020/0", "{\"d\":\"0100000000\",\"f\":50,\"b\":\"1@i-1+0 9@i-2+3 30@i-1+4 39@i-2+5\"}");
+        for (int i = 0; i < 3; i++) {
+            g_snprintf(key, sizeof key, "run/req-20020/%d", orders[o][i]);
+            put(key, pieces[orders[o][i]]);
+            assert_int_equal(bookings_count(j), 4);
+        }
+        assert_int_equal(bookings_stretch(j), 16);
+        assert_int_equal(bookings_chunks(j), 3);
+        assert_int_equal(j->n_runs, 3);
+        assert_ptr_equal(j->bookings->pdata[2], kept);
+    }
+    cJSON *v = bookings_value(j, 2, 16, NULL, false);
+    char *text = cJSON_PrintUnformatted(v);
+    assert_string_equal(text, pieces[2]);
+    free(text);
+    cJSON_Delete(v);
+    /* One that goes takes its own tasks with it only. */
+    put("run/req-20020/1", NULL);
+    assert_int_equal(bookings_count(j), 3);
+    /* A stretch that can't be read releases nothing. */
+    put("run/req-20020/0", "{\"n\":7,\"f\":50,\"b\":\"\"}");
+    assert_int_equal(bookings_count(j), 3);
+    put("job/req-20020", JOB("req-20020", "40", "cancelled"));
+}
+
 /* A record that can't be read in full releases nothing that it may have named. */
 static void unreadable(void **state) {
     (void)state;
@@ -186,6 +227,6 @@
     rounds_init(&cfg);
     workers_init(&cfg);
     const struct CMUnitTest tests[] = {cmocka_unit_test(entries), cmocka_unit_test(round_trip), cmocka_unit_test(large),
-                                       cmocka_unit_test(unreadable)};
+                                       cmocka_unit_test(stretches), cmocka_unit_test(unreadable)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- /dev/null
+++ b/src/chains/chains_test.c
@@ -0,0 +1,241 @@
+/* Chains on records alone, read in any order: who waits, whose rank and deadline a job has, what is to be cancelled. */
+#include "chains/chains.h"
+
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../tests/standin/site.h"
+#include "bookings/bookings.h"
+#include "format/format.h"
+#include "membership/membership.h"
+#include "rounds/rounds.h"
+#include "workers/workers.h"
+
+static struct settings cfg;
+static int64_t stamp = 10;
+
+#define RUNTIME_S 50.0
+
+/* A job's record; prereqs is a JSON list. The end of a done job is `end`; 0: recorded by the first version. */
+static void put(const char *uid, const char *team, const char *rank, double due, const char *prereqs, const char *state,
+                double end) {
+    char *ended = end > 0 ? g_strdup_printf(",\"end\":%f", end) : g_strdup("");
+    char *text = g_strdup_printf(
+        "{\"%s\":{\"uid\":\"%s\",\"jobclass\":\"c\",\"owner\":\"%s\",\"shape\":\"batch\",\"rank\":\"%s\",\"tasks\":2,"
+        "\"vcpus\":1,\"gpus\":1,\"memory_gb\":1,\"image\":\"i\",\"pull_gb\":1,\"together\":false,\"spread\":false,"
+        "\"reclaimable\":false,\"runtime_s\":%f,\"checkpoint_s\":0,\"flush_s\":0,\"due_s\":%f,\"prereqs\":%s},"
+        "\"state\":\"%s\",\"at\":1000%s}",
+        strlen(prereqs) > 2 ? "chained_spec" : "spec", uid, team, rank, RUNTIME_S, due, prereqs, state, ended);
+    cJSON *x = cJSON_Parse(text);
+    assert_non_null(x);
+    char key[64];
+    g_snprintf(key, sizeof key, "job/%s", uid);
+    store_lock();
+    store_apply(key, x, ++stamp);
+    store_unlock();
+    cJSON_Delete(x);
+    g_free(text);
+    g_free(ended);
+}
+
+static void queued(const char *uid, const char *prereqs) { put(uid, "red", "idle", 0, prereqs, "queued", 0); }
+static void ends(const char *uid, const char *prereqs, const char *state, double end) {
+    put(uid, "red", "idle", 0, prereqs, state, end);
+}
+
+static int ranked(const char *uid) {
+    int n = 0;
+    GArray *order = rounds_rank(0);
+    for (guint i = 0; i < order->len; i++)
+        n += strcmp(g_array_index(order, struct rounds_ranked, i).j->spec.uid, uid) == 0;
+    g_array_free(order, TRUE);
+    return n;
+}
+
+/* A job takes part in nothing until the record of each prerequisite says done, in whatever order records come; its
+ * times count from the last end. All tasks reported is not done: the job may still be cancelled. */
+static void waiting(void **state) {
+    (void)state;
+    queued("req-10003", "[\"req-10001\",\"req-10002\"]"); /* read before what it needs */
+    const struct job *j = jobs_find("req-10003");
+    assert_true(chains_waits(j));
+    assert_int_equal(ranked("req-10003"), 0);
+    queued("req-10001", "[]");
+    queued("req-10002", "[]");
+    assert_int_equal(ranked("req-10001"), 1);
+    ends("req-10001", "[]", "done", 1200);
+    assert_true(chains_waits(j));
+    jobs_mark_done(jobs_find("req-10002"), 0);
+    jobs_mark_done(jobs_find("req-10002"), 1);
+    assert_true(jobs_complete(jobs_find("req-10002")));
+    assert_true(chains_waits(j));
+    assert_int_equal(ranked("req-10003"), 0);
+    ends("req-10002", "[]", "done", 1100);
+    assert_false(chains_waits(j));
+    assert_int_equal(ranked("req-10003"), 1);
+    assert_float_equal(j->ready, 1200, 1e-6);
+    /* Ends that the first version recorded are older than any job with prerequisites. */
+    ends("req-10004", "[]", "done", 0);
+    queued("req-10005", "[\"req-10004\"]");
+    assert_float_equal(jobs_find("req-10005")->ready, 1000, 1e-6);
+    assert_int_equal(ranked("req-10005"), 1);
+}
+
+/* Ranks and deadlines come from all unfinished jobs that need one, of whatever team; jobs are read in both orders. */
+static void urgency(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        struct {
+            const char *uid, *team, *rank;
+            double due;
+            const char *prereqs, *state;
+        } jobs[4];
+        const char *asked;
+        enum job_rank rank;
+        double deadline; /* from the submission; 0: none */
+    } rows[] = {
+        {"on its own", {{"1", "red", "normal", 300, "[]", "queued"}}, "1", RANK_NORMAL, 300},
+        {"from the last of three",
+         {{"1", "red", "idle", 0, "[]", "queued"},
+          {"2", "red", "idle", 0, "[\"1\"]", "queued"},
+          {"3", "red", "high", 400, "[\"2\"]", "queued"}},
+         "1",
+         RANK_HIGH,
+         400 - 2 * RUNTIME_S},
+        {"a diamond: the more pressing side counts",
+         {{"1", "red", "idle", 0, "[]", "queued"},
+          {"2", "red", "normal", 200, "[\"1\"]", "queued"},
+          {"3", "red", "idle", 0, "[\"1\"]", "queued"},
+          {"4", "red", "high", 900, "[\"2\",\"3\"]", "queued"}},
+         "1",
+         RANK_HIGH,
+         200 - RUNTIME_S},
+        {"another team's need",
+         {{"1", "red", "idle", 0, "[]", "queued"}, {"2", "blue", "production", 500, "[\"1\"]", "queued"}},
+         "1",
+         RANK_PRODUCTION,
+         500 - RUNTIME_S},
+        {"its own deadline is earlier",
+         {{"1", "red", "high", 100, "[]", "queued"}, {"2", "red", "idle", 500, "[\"1\"]", "queued"}},
+         "1",
+         RANK_HIGH,
+         100},
+        {"what was cancelled asks for nothing",
+         {{"1", "red", "idle", 0, "[]", "queued"},
+          {"2", "red", "normal", 0, "[\"1\"]", "queued"},
+          {"3", "red", "high", 400, "[\"1\"]", "cancelled"}},
+         "1",
+         RANK_NORMAL,
+         0},
+        {"through one that is cancelled neither",
+         {{"1", "red", "idle", 0, "[]", "queued"},
+          {"2", "red", "idle", 0, "[\"1\"]", "cancelled"},
+          {"3", "red", "high", 400, "[\"2\"]", "queued"}},
+         "1",
+         RANK_IDLE,
+         0},
+    };
+    int base = 20000;
+    for (size_t i = 0; i < 2 * G_N_ELEMENTS(rows); i++, base += 10) {
+        size_t r = i / 2;
+        char uid[16], asked[16];
+        for (int n = 0; n < 4; n++) {
+            int at = i % 2 ? 3 - n : n; /* the second time backwards */
+            if (!rows[r].jobs[at].uid) continue;
+            g_snprintf(uid, sizeof uid, "req-%d", base + atoi(rows[r].jobs[at].uid));
+            GString *list = g_string_new(rows[r].jobs[at].prereqs);
+            for (char d = '4'; d > '0'; d--) {
+                char from[4] = {'"', d, '"', 0}, to[16];
+                g_snprintf(to, sizeof to, "\"req-%d\"", base + d - '0');
+                g_string_replace(list, from, to, 0);
+            }
+            const char *last = rows[r].jobs[at].state;
+            put(uid, rows[r].jobs[at].team, rows[r].jobs[at].rank, rows[r].jobs[at].due, list->str, "queued", 0);
+            if (strcmp(last, "queued") != 0)
+                put(uid, rows[r].jobs[at].team, rows[r].jobs[at].rank, rows[r].jobs[at].due, list->str, last, 0);
+            g_string_free(list, TRUE);
+        }
+        g_snprintf(asked, sizeof asked, "req-%d", base + atoi(rows[r].asked));
+        const struct job *j = jobs_find(asked);
+        double want = rows[r].deadline > 0 ? 1000 + rows[r].deadline : INFINITY;
+        if (j->rank != rows[r].rank) fail_msg("%s: rank %d", rows[r].what, (int)j->rank);
+        if (j->deadline != want && fabs(j->deadline - want) > 1e-6)
+            fail_msg("%s: deadline %f", rows[r].what, j->deadline);
+    }
+}
+
+/* All that needs a cancelled job is to be cancelled, and never had a task: nothing starts before its prerequisite is
+ * done, and what is done is never cancelled. */
+static void cascade(void **state) {
+    (void)state;
+    queued("req-30001", "[]");
+    queued("req-30002", "[\"req-30001\"]");
+    queued("req-30003", "[\"req-30002\"]");
+    ends("req-30001", "[]", "done", 1100);
+    assert_false(chains_to_cancel(jobs_find("req-30002"))); /* a cancellation that ended in done cascades nothing */
+    ends("req-30002", "[\"req-30001\"]", "cancelled", 0);
+    assert_true(chains_to_cancel(jobs_find("req-30003")));
+    assert_true(chains_waits(jobs_find("req-30003")));
+    assert_int_equal(jobs_find("req-30003")->bookings->len, 0);
+    char *names[] = {(char *)"req-30001", (char *)"req-30003", NULL};
+    assert_true(chains_cancelled_among(names)); /* what names it later */
+    assert_false(chains_cancelled_among(NULL));
+    queued("req-30004", "[\"req-30003\"]");
+    assert_true(chains_to_cancel(jobs_find("req-30004")));
+    /* Its own record ends it. */
+    ends("req-30003", "[\"req-30002\"]", "cancelled", 0);
+    assert_false(chains_to_cancel(jobs_find("req-30003")));
+    ends("req-30004", "[\"req-30003\"]", "cancelled", 0);
+}
+
+/* Deep and wide graphs, read from either end: every job is found, prerequisites before their dependents, so that who
+ * told the first job's user writes them all. */
+static void deep_and_wide(void **state) {
+    (void)state;
+    enum { DEEP = 3000, WIDE = 300 };
+    static struct job *next[DEEP + WIDE + 1];
+    char uid[32], prereqs[64];
+    for (int i = DEEP; i > 0; i--) {
+        g_snprintf(uid, sizeof uid, "req-4%05d", i);
+        g_snprintf(prereqs, sizeof prereqs, "[\"req-4%05d\"]", i - 1);
+        queued(uid, prereqs);
+    }
+    for (int i = 0; i < WIDE; i++) {
+        g_snprintf(uid, sizeof uid, "req-5%05d", i);
+        queued(uid, "[\"req-400000\"]");
+    }
+    queued("req-400000", "[]");
+    assert_int_equal(chains_next_cancels(next, DEEP + WIDE), 0);
+    ends("req-400000", "[]", "cancelled", 0);
+    store_lock();
+    /* Neither was the user told here, nor is the share ours: others go first. */
+    assert_int_equal(chains_next_cancels(next, DEEP + WIDE), 0);
+    jobs_find("req-400000")->told_cancelled = true;
+    assert_int_equal(chains_next_cancels(next, 16), 16);
+    assert_int_equal(chains_next_cancels(next, DEEP + WIDE + 1), DEEP + WIDE);
+    for (int i = 1; i <= DEEP; i++) {
+        g_snprintf(uid, sizeof uid, "req-4%05d", i);
+        assert_true(chains_to_cancel(jobs_find(uid)));
+    }
+    store_unlock();
+}
+
+int main(void) {
+    char err[256];
+    if (!settings_parse(SITE_JSON, "f.json", &cfg, err, sizeof err)) return 1;
+    base_log_init("fatal");
+    store_init(&cfg);
+    membership_init(&cfg);
+    format_init(&cfg);
+    jobs_init(&cfg);
+    chains_init(&cfg);
+    bookings_init(&cfg);
+    records_init(&cfg);
+    rounds_init(&cfg);
+    workers_init(&cfg);
+    const struct CMUnitTest tests[] = {cmocka_unit_test(waiting), cmocka_unit_test(urgency), cmocka_unit_test(cascade),
+                                       cmocka_unit_test(deep_and_wide)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/format/format_test.c
@@ -0,0 +1,61 @@
+#include "format/format.h"
+
+#include <string.h>
+
+#include "../../tests/standin/site.h"
+
+static struct settings cfg;
+static int64_t stamp = 10;
+
+static void put(const char *key, const char *json) {
+    cJSON *x = json ? cJSON_Parse(json) : NULL;
+    store_lock();
+    store_apply(key, x, ++stamp);
+    store_unlock();
+    cJSON_Delete(x);
+}
+
+/* The layout is active once every controller of the settings has recorded its version, for good: a node that is merely
+ * not heard of, or a record that can't be read, is no proof, and no later record takes it back. */
+static void activation(void **state) {
+    (void)state;
+    static const struct {
+        const char *what, *key, *record;
+        bool active;
+    } rows[] = {
+        {"ours alone", "format/n0", "{\"version\":2}", false},
+        {"one that the settings don't name", "format/n7", "{\"version\":2}", false},
+        {"the other is gone", "node/n1", NULL, false},
+        {"the other, unreadable", "format/n1", "{\"version\":\"2\"}", false},
+        {"the other, older", "format/n1", "{\"version\":1}", false},
+        {"the other", "format/n1", "{\"version\":3}", true},
+        {"a record that is gone", "format/n1", NULL, true},
+        {"a damaged one", "format/n0", "{\"version\":1}", true},
+    };
+    struct store_txn t;
+    store_txn_init(&t);
+    assert_false(format_active());
+    assert_true(format_announce(&t));
+    const cJSON *op = cJSON_GetArrayItem(t.ops, 0);
+    assert_int_equal(t.writes, 1);
+    assert_string_equal(base_str(op, "set"), "format/n0");
+    assert_null(cJSON_GetObjectItem(op, "lease")); /* it outlives the process */
+    store_txn_free(&t);
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        put(rows[i].key, rows[i].record);
+        if (format_active() != rows[i].active) fail_msg("%s: %d", rows[i].what, format_active());
+    }
+    store_txn_init(&t);
+    assert_false(format_announce(&t));
+    store_txn_free(&t);
+}
+
+int main(void) {
+    char err[256];
+    if (!settings_parse(SITE_JSON, "f.json", &cfg, err, sizeof err)) return 1;
+    base_log_init("fatal");
+    store_init(&cfg);
+    format_init(&cfg);
+    const struct CMUnitTest tests[] = {cmocka_unit_test(activation)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/jobs/jobs_test.c
+++ b/src/jobs/jobs_test.c
@@ -41,6 +41,13 @@
         {"[\"g8\"]", "\"g8\"", 400, "flavours"},
         {"[\"g8\"]", "null", 0, ""},
         {"\"due_s\":900.0", "\"due_s\":null", 0, ""},
+        {"\"extra\":1", "\"prereqs\":null", 0, ""},
+        {"\"extra\":1", "\"prereqs\":[]", 0, ""},
+        {"\"extra\":1", "\"prereqs\":[\"req-000398\",\"req-000398\"]", 0, ""},
+        {"\"extra\":1", "\"prereqs\":\"req-000398\"", 400, "prereqs"},
+        {"\"extra\":1", "\"prereqs\":{}", 400, "prereqs"},
+        {"\"extra\":1", "\"prereqs\":[7]", 400, "prereqs"},
+        {"\"extra\":1", "\"prereqs\":[\"req-000398\",\"job-1\"]", 400, "prereqs"},
         {"\"owner\":\"red\"", "\"owner\":\"nobody\"", 422, "owner"},
         {"[\"g8\"]", "[\"g9\"]", 422, "machine type"},
         {"\"site\":null", "\"site\":\"zz\"", 422, "machine type"},
@@ -80,6 +87,41 @@
     g_free(y);
 }
 
+/* Each name counts once. A record that holds them is one in which the first version finds no spec; one that was
+ * accepted under the present limit can be ended under the next. */
+static void prerequisites(void **state) {
+    (void)state;
+    char *text = site_with(good, "\"extra\":1", "\"prereqs\":[\"req-000398\",\"req-000405\",\"req-000398\"]");
+    char field[64];
+    struct job_spec spec;
+    assert_int_equal(jobs_parse(text, strlen(text), &cfg, &spec, field, sizeof field), 0);
+    assert_int_equal(g_strv_length(spec.prerequisites), 2);
+    assert_string_equal(spec.prerequisites[1], "req-000405");
+    jobs_spec_clear(&spec);
+    cJSON *v = jobs_value(text, JOB_QUEUED, 5);
+    assert_null(cJSON_GetObjectItem(v, "spec"));
+    assert_non_null(cJSON_GetObjectItem(v, "chained_spec"));
+    cJSON_Delete(v);
+    v = jobs_value(good, JOB_QUEUED, 5);
+    assert_non_null(cJSON_GetObjectItem(v, "spec"));
+    cJSON_Delete(v);
+    g_free(text);
+    char *filler = g_strnfill((gsize)(cfg.value_kb * 1024), 'x'), *extra = g_strdup_printf("\"extra\":\"%s\"", filler);
+    text = site_with(good, "\"extra\":1", extra);
+    assert_true(jobs_record_bytes(text) > jobs_record_most());
+    struct job j = {.spec_text = text, .submitted = 5};
+    v = jobs_final_value(&j, JOB_DONE);
+    char *written = cJSON_PrintUnformatted(v);
+    assert_true(strlen(written) <= cfg.next_value_kb * 1024);
+    assert_int_equal(jobs_spec_read(cJSON_GetObjectItem(v, "spec"), &cfg, &spec, &(const char *){NULL}), 0);
+    jobs_spec_clear(&spec);
+    free(written);
+    cJSON_Delete(v);
+    g_free(text);
+    g_free(extra);
+    g_free(filler);
+}
+
 static void put(const char *state, const char *done, int64_t stamp) {
     char *text = g_strdup_printf("{\"spec\":%s,\"state\":\"%s\",\"done\":\"%s\",\"at\":5}", good, state, done);
     cJSON *o = cJSON_Parse(text);
@@ -128,6 +170,7 @@
     records_init(&cfg);
     rounds_init(&cfg);
     workers_init(&cfg);
-    const struct CMUnitTest tests[] = {cmocka_unit_test(admission), cmocka_unit_test(bits), cmocka_unit_test(records)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(admission), cmocka_unit_test(bits),
+                                       cmocka_unit_test(prerequisites), cmocka_unit_test(records)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/settings/settings_test.c
+++ b/src/settings/settings_test.c
@@ -50,6 +50,43 @@
     assert_false(settings_parse("[1]", "f.json", &s, err, sizeof err));
 }
 
+/* Limits that the state service will have some day: each may be left out, and none is above the present one. */
+static void next_limits(void **state) {
+    (void)state;
+    static const struct {
+        const char *next;
+        double write_rps, value_kb, next_value_kb;
+        int txn_ops;
+        const char *wrong;
+    } rows[] = {
+        {"{\"write_rps\":15,\"value_kb\":2,\"txn_ops\":4}", 15, 4, 2, 4, NULL},
+        {"{\"value_kb\":2}", 20, 4, 2, 8, NULL},
+        {"{}", 20, 4, 4, 8, NULL},
+        {"null", 20, 4, 4, 8, NULL},
+        {"{\"write_rps\":90,\"value_kb\":64,\"txn_ops\":32}", 20, 4, 4, 8, NULL},
+        {"{\"txn_ops\":1}", 0, 0, 0, 0, "settings.state.next.txn_ops"},
+        {"{\"value_kb\":\"2\"}", 0, 0, 0, 0, "settings.state.next.value_kb"},
+        {"7", 0, 0, 0, 0, "settings.state.next"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct settings s;
+        char err[256] = "", *to = g_strdup_printf("\"txn_ops\":8,\"next\":%s", rows[i].next);
+        char *text = site_with(SITE_JSON, "\"txn_ops\":8", to);
+        bool ok = settings_parse(text, "f.json", &s, err, sizeof err);
+        assert_int_equal(ok, rows[i].wrong == NULL);
+        if (rows[i].wrong) assert_non_null(strstr(err, rows[i].wrong));
+        if (ok) {
+            assert_float_equal(s.state_write_rps, rows[i].write_rps, 1e-9);
+            assert_float_equal(s.value_kb, rows[i].value_kb, 1e-9);
+            assert_float_equal(s.next_value_kb, rows[i].next_value_kb, 1e-9);
+            assert_int_equal(s.txn_ops, rows[i].txn_ops);
+        }
+        settings_clear(&s);
+        g_free(text);
+        g_free(to);
+    }
+}
+
 static void tuning(void **state) {
     (void)state;
     static const struct {
@@ -75,6 +112,6 @@
 
 int main(void) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(good_settings), cmocka_unit_test(bad_settings),
-                                       cmocka_unit_test(tuning)};
+                                       cmocka_unit_test(next_limits), cmocka_unit_test(tuning)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
