--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -695,6 +695,8 @@
     for (guint i = 0; i < r->txns->len; i++) n += ((struct store_txn *)r->txns->pdata[i])->writes;
     return n;
 }
+const GPtrArray *rounds_transactions(const struct round *r) { return r->txns; }
+
 int rounds_largest(const struct round *r) {
     int n = 0;
     for (guint i = 0; i < r->txns->len; i++) n = MAX(n, ((struct store_txn *)r->txns->pdata[i])->writes);
@@ -736,7 +738,7 @@
     g_ptr_array_free(late, TRUE);
 }
 
-static void apply_written(const struct round *r, const struct store_txn *t, int64_t epoch) {
+void rounds_apply(const struct round *r, const struct store_txn *t, int64_t epoch) {
     const cJSON *x;
     store_apply_written(t, epoch);
     cJSON_ArrayForEach(x, t->ops) {
@@ -819,7 +821,7 @@
         enum store_result rc = store_multi(c, STORE_BOOK, t, &a);
         if (rc == STORE_OK) {
             store_lock();
-            apply_written(r, t, a.epoch);
+            rounds_apply(r, t, a.epoch);
             store_unlock();
             again = true;
         } else if (rc == STORE_CONFLICT) {
--- a/src/rounds/rounds.h
+++ b/src/rounds/rounds.h
@@ -23,7 +23,9 @@
 struct round *rounds_decide(int k, int left);
 int rounds_planned(const struct round *r, const char *uid); /* tasks it books; uid NULL: of all jobs */
 int rounds_changes(const struct round *r);
-int rounds_largest(const struct round *r); /* changes of its largest transaction */
+int rounds_largest(const struct round *r);                   /* changes of its largest transaction */
+const GPtrArray *rounds_transactions(const struct round *r); /* struct store_txn, in the order in which they are sent */
+void rounds_apply(const struct round *r, const struct store_txn *t, int64_t epoch); /* it was written */
 void rounds_round_free(struct round *r);
 int64_t rounds_gang_open(const struct job *j);
 #endif
--- /dev/null
+++ b/src/rounds/rounds_limits_test.c
@@ -0,0 +1,261 @@
+/* Every shape of transaction that an owner writes, under the next limits of the state service: 2 KiB a value and 4
+ * operations, where 4 KiB and 8 were the first version's. Nothing exceeds them, whatever the first version has left on
+ * record, and what was asked for is on record after a few rounds. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../tests/standin/owned.h"
+#include "../../tests/standin/site.h"
+#include "../../tests/standin/state.h"
+#include "bookings/bookings.h"
+#include "format/format.h"
+#include "placement/placement.h"
+#include "rounds/rounds.h"
+
+#define NEXT_OPS 4
+#define NEXT_BYTES 2048
+#define ROUNDS 40 /* a day's worth of nothing else to do */
+#define WIDE 160  /* tasks that one record of the first version holds */
+#define OLD_PAGE 31
+
+static struct settings cfg;
+
+static void check_limits(const char *what, const struct store_txn *t) {
+    const cJSON *op;
+    if (t->writes > NEXT_OPS || cJSON_GetArraySize(t->conds) > 4 * NEXT_OPS)
+        fail_msg("%s: %d operations, %d conditions", what, t->writes, cJSON_GetArraySize(t->conds));
+    cJSON_ArrayForEach(op, t->ops) {
+        char *text = cJSON_PrintUnformatted(cJSON_GetObjectItem(op, "data"));
+        if (text && strlen(text) > NEXT_BYTES) fail_msg("%s: %s, %zu bytes", what, base_str(op, "set"), strlen(text));
+        free(text);
+    }
+}
+
+/* Rounds until nothing is written any more; all that is written is applied as the store would. */
+static void settle(const char *what) {
+    for (int i = 0; i < ROUNDS; i++) {
+        records_shares[0].tidied.tv_sec = 0;
+        struct round *round = rounds_decide(0, 12);
+        const GPtrArray *txns = rounds_transactions(round);
+        bool wrote = false;
+        for (guint t = 0; t < txns->len; t++) {
+            const struct store_txn *txn = txns->pdata[t];
+            check_limits(what, txn);
+            wrote |= txn->writes > 0;
+            rounds_apply(round, txn, owned_next_stamp());
+        }
+        rounds_round_free(round);
+        if (!wrote) return;
+    }
+    fail_msg("%s: does not settle", what);
+}
+
+static void keep_steady(struct machine *m) {
+    m->up = true;
+    m->seen_fence = records_token(m);
+    m->reported = m->heard = base_now();
+    m->rows = 6;
+}
+
+/* Machines of the share on pages as full as the first version filled them. */
+static int old_pages(struct machine **out, int n) {
+    char id[32], key[32];
+    for (int page = 0; page * OLD_PAGE < n; page++) {
+        GString *text = g_string_new("{\"sku\":[\"g16\"],\"site\":[\"za\"],\"img\":[],\"m\":[");
+        for (int i = page * OLD_PAGE; i < MIN(n, (page + 1) * OLD_PAGE); i++)
+            g_string_append_printf(text, "%s[\"i-%06d\",\"10.1.200.%d:9000\",0,0,0,1,1764600000,\"\"]",
+                                   i % OLD_PAGE ? "," : "", i, i);
+        g_string_append(text, "]}");
+        g_snprintf(key, sizeof key, "fleet/0/%d", page);
+        owned_put(key, text->str);
+        g_string_free(text, TRUE);
+    }
+    for (int i = 0; i < n; i++) {
+        g_snprintf(id, sizeof id, "i-%06d", i);
+        out[i] = records_find(id);
+        assert_non_null(out[i]);
+        assert_true(records_mine(out[i]));
+        keep_steady(out[i]);
+    }
+    return n;
+}
+
+/* An array whose record is as wide and as large as the first version made it. */
+static struct job *old_wide_array(const char *uid, struct machine **on, int n) {
+    struct job *j = owned_job(uid, "batch", "normal", WIDE, 0.1, 0, false, true, 10);
+    GString *text = g_string_new("{\"f\":100,\"b\":\"");
+    for (int t = 0; t < WIDE; t++)
+        g_string_append_printf(text, "%s%d@%s+%d", t ? " " : "", t, on[t % n]->id, 1000000 + t);
+    g_string_append(text, "\"}");
+    assert_true(text->len > NEXT_BYTES);
+    char key[64];
+    bookings_key(j, 0, key, sizeof key);
+    owned_put(key, text->str);
+    g_string_free(text, TRUE);
+    for (guint i = 0; i < j->bookings->len; i++) {
+        struct booking *b = j->bookings->pdata[i];
+        b->inherited = false;
+        b->seen = true;
+        b->state = TASK_RUNNING;
+    }
+    assert_int_equal(bookings_count(j), WIDE);
+    return j;
+}
+
+/* As a report shows that every n-th booking is over. */
+static void end_bookings(struct job *j, guint every) {
+    for (guint i = 0; i < j->bookings->len; i += every) {
+        struct booking *b = j->bookings->pdata[i];
+        b->over = true;
+        if (j->state == JOB_QUEUED) jobs_mark_done(j, b->task);
+        jobs_touch(j, b->task);
+    }
+}
+
+static void first_bookings(void **state) {
+    (void)state;
+    static const struct {
+        const char *what, *shape;
+        int tasks;
+    } rows[] = {{"a gang", "group", 8},
+                {"a wide array", "batch", WIDE},
+                {"a service", "standing", 8},
+                {"more than one round's", "batch", 400}};
+    store_lock();
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char id[32];
+        for (int m = 0; m < 40; m++) {
+            g_snprintf(id, sizeof id, "i-%06d", m);
+            owned_machine(id, "za", false);
+        }
+        char uid[32];
+        g_snprintf(uid, sizeof uid, "req-%zu", 20000 + i); /* a final state never goes back: an id a row */
+        struct job *j = owned_job(uid, rows[i].shape, "high", rows[i].tasks, 0.1, 0, false, false, 5);
+        settle(rows[i].what);
+        if (bookings_count(j) != rows[i].tasks) fail_msg("%s: %d booked", rows[i].what, bookings_count(j));
+        owned_clear();
+    }
+    store_unlock();
+}
+
+/* A record of the first version that the next limit would refuse is replaced by shorter ones in one transaction; its
+ * job loses nothing, runs as wide as before, and goes from the records when it ends. */
+static void wide_records(void **state) {
+    (void)state;
+    struct machine *on[OLD_PAGE];
+    store_lock();
+    int n = old_pages(on, OLD_PAGE);
+    struct job *j = old_wide_array("req-10010", on, n);
+    for (int t = 0; t < 5; t++) { /* a few tasks end */
+        struct booking *b = j->bookings->pdata[t];
+        b->over = true;
+        jobs_mark_done(j, b->task);
+    }
+    settle("a wide record");
+    assert_int_equal(bookings_count(j), WIDE - 5);
+    assert_int_equal(j->n_done, 5);
+    assert_int_equal(bookings_stretch(j), 72);
+    assert_int_equal(j->n_runs, 3);
+    assert_int_equal(j->n_touched, 0);
+    end_bookings(j, 1);
+    settle("the end of a wide array");
+    assert_int_equal(j->state, JOB_DONE);
+    assert_int_equal(j->n_runs, 0);
+    assert_int_equal(j->bookings->len, 0);
+    /* One that is cancelled meanwhile. */
+    struct job *other = old_wide_array("req-10011", on, n);
+    owned_put("job/req-10011",
+              "{\"spec\":{\"uid\":\"req-10011\"},\"state\":\"cancelled\",\"at\":1}"); /* a final state needs no spec */
+    assert_int_equal(other->state, JOB_CANCELLED);
+    end_bookings(other, 2);
+    settle("half of a cancelled array is gone");
+    assert_int_equal(bookings_count(other), WIDE / 2);
+    end_bookings(other, 1);
+    settle("all of it");
+    assert_int_equal(other->n_runs, 0);
+    owned_clear();
+    store_unlock();
+}
+
+/* Machines of pages that are too large for the next limit: raised, returned, passed on, and the pages themselves. No
+ * machine is lost, and what runs there stays booked. */
+static void large_pages(void **state) {
+    (void)state;
+    enum { FLEET = 3 * OLD_PAGE, RETURNED = 50, PASSED = 52 };
+    struct machine *on[FLEET];
+    bool large[RECORDS_PAGES];
+    store_lock();
+    int n = old_pages(on, FLEET);
+    struct job *j = owned_job("req-10020", "standing", "high", 8, 1, 0, false, false, 10);
+    owned_book(j, on, 8);
+    records_large_pages(0, large);
+    assert_true(large[0] && large[1] && large[2]);
+    for (int i = 0; i < n; i++) {
+        on[i]->need_raise = i % 3 == 0;
+        on[i]->unknown_fence = records_token(on[i]);
+    }
+    on[RETURNED]->want_return = true;
+    on[PASSED]->pass_to = 1;
+    on[PASSED]->pass_since = base_now();
+    settle("large pages");
+    records_large_pages(0, large);
+    for (int p = 0; p < RECORDS_PAGES; p++) {
+        assert_false(large[p]);
+        assert_false(records_page_stale(0, p));
+    }
+    for (int i = 0; i < n; i++) {
+        char id[32];
+        g_snprintf(id, sizeof id, "i-%06d", i);
+        const struct machine *m = records_find(id);
+        if (!m || m->share != (i == PASSED)) fail_msg("machine %d is lost", i);
+        assert_false(m->need_raise);
+    }
+    assert_true(on[RETURNED]->returning);
+    assert_int_equal(bookings_count(j), 8);
+    owned_clear();
+    owned_put("machine/i-000052", NULL);
+    store_unlock();
+}
+
+/* Machines that come from another share. */
+static void arrivals(void **state) {
+    (void)state;
+    char key[64], id[32];
+    store_lock();
+    for (int i = 0; i < 9; i++) {
+        g_snprintf(key, sizeof key, "machine/i-%06d", 500 + i);
+        owned_put(key,
+                  "{\"share\":0,\"fence\":3,\"address\":\"10.0.0.1:9000\",\"flavour\":\"g16\",\"site\":\"za\",\"spot\":"
+                  "false,\"born\":1}");
+    }
+    settle("arrivals");
+    for (int i = 0; i < 9; i++) {
+        g_snprintf(id, sizeof id, "i-%06d", 500 + i);
+        const struct machine *m = records_find(id);
+        assert_non_null(m);
+        assert_true(m->page >= 0);
+    }
+    owned_clear();
+    store_unlock();
+}
+
+int main(void) {
+    char err[256];
+    char *text = site_with(SITE_JSON, "127.0.0.1:18084", "127.0.0.1:18187");
+    char *next = site_with(text, "\"txn_ops\":8", "\"txn_ops\":8,\"next\":{\"value_kb\":2,\"txn_ops\":4}");
+    if (!settings_parse(next, "f.json", &cfg, err, sizeof err) || !standin_state_start(cfg.state)) return 1;
+    g_free(text);
+    g_free(next);
+    owned_start(&cfg);
+    store_lock();
+    owned_put(
+        "types",
+        "{\"flavours\":[{\"sku\":\"g16\",\"vcpus\":16,\"gpus\":2,\"memory_gb\":640,\"hourly\":7,\"market_price\":2,"
+        "\"startup_s\":25,\"sites\":[\"za\",\"zb\",\"zc\"]}]}");
+    owned_put("format/n0", "{\"version\":2}");
+    owned_put("format/n1", "{\"version\":2}");
+    store_unlock();
+    const struct CMUnitTest tests[] = {cmocka_unit_test(first_bookings), cmocka_unit_test(wide_records),
+                                       cmocka_unit_test(large_pages), cmocka_unit_test(arrivals)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/rounds/rounds_test.c
+++ b/src/rounds/rounds_test.c
@@ -17,100 +17,8 @@
 #include "workers/workers.h"
 
 static struct settings cfg;
-static int64_t stamp = 1000000;
-
-static void put(const char *key, const char *json) {
-    cJSON *x = json ? cJSON_Parse(json) : NULL;
-    assert_true(!json || x);
-    store_apply(key, x, ++stamp);
-    cJSON_Delete(x);
-}
-
 static const char *const zones[] = {"za", "zb", "zc"};
 
-/* A steady machine of ours with a free room of 16 CPUs, 2 GPUs, 64 GB, on page 0 and up. */
-static struct machine *machine(const char *id, const char *zone, bool spot) {
-    records_rented(0, id, "g16", zone, spot);
-    struct records_newcomer *n = g_hash_table_lookup(records_newcomers(), id);
-    int page = n->page = records_page_for(0, id), count;
-    cJSON *v = records_page_value(0, page, &count);
-    char key[32];
-    g_snprintf(key, sizeof key, "fleet/0/%d", page);
-    store_apply(key, v, ++stamp);
-    cJSON_Delete(v);
-    struct machine *m = records_find(id);
-    assert_non_null(m);
-    assert_true(records_mine(m));
-    m->up = true;
-    m->seen_fence = records_token(m);
-    m->reported = m->heard = base_now();
-    m->rows = 6;
-    return m;
-}
-
-static struct job *job(const char *uid, const char *shape, const char *rank, int tasks, double cpus, double gpus,
-                       bool together, bool reclaimable, double age) {
-    char *json = g_strdup_printf(
-        "{\"spec\":{\"uid\":\"%s\",\"jobclass\":\"c\",\"owner\":\"green\",\"shape\":\"%s\",\"rank\":\"%s\",\"tasks\":%"
-        "d,"
-        "\"vcpus\":%f,\"gpus\":%f,\"memory_gb\":4,\"image\":\"i\",\"pull_gb\":1,\"together\":%s,\"spread\":false,"
-        "\"reclaimable\":%s,\"runtime_s\":50,\"checkpoint_s\":15,\"flush_s\":2},\"state\":\"queued\",\"at\":%f}",
-        uid, shape, rank, tasks, cpus, gpus, together ? "true" : "false", reclaimable ? "true" : "false",
-        base_time_of_day() - age);
-    char key[64];
-    g_snprintf(key, sizeof key, "job/%s", uid);
-    put(key, json);
-    g_free(json);
-    struct job *j = jobs_find(uid);
-    assert_non_null(j);
-    assert_int_equal(jobs_share(j), 0);
-    return j;
-}
-
-/* Books tasks 0.. of the job, one on each of the machines named by index, running for long. */
-static void book(struct job *j, struct machine **on, int n) {
-    GArray *plans = g_array_new(FALSE, FALSE, sizeof(struct placement_plan));
-    for (int i = 0; i < n; i++) {
-        struct placement_plan p = {on[i], j, i, 100 + i};
-        g_array_append_val(plans, p);
-    }
-    char key[96];
-    cJSON *v = bookings_value(j, 0, bookings_stretch(j), plans, false);
-    bookings_key(j, 0, key, sizeof key);
-    store_apply(key, v, ++stamp);
-    cJSON_Delete(v);
-    g_array_free(plans, TRUE);
-    for (guint i = 0; i < j->bookings->len; i++) {
-        struct booking *b = j->bookings->pdata[i];
-        b->inherited = false;
-        b->seen = true;
-        b->state = TASK_RUNNING;
-        b->changed.tv_sec -= 100;
-    }
-}
-
-/* Everything of a test goes, so that the next begins with an empty share. */
-static void clear(void) {
-    char key[96];
-    for (guint i = jobs_active()->len; i-- > 0;) {
-        struct job *j = jobs_active()->pdata[i];
-        char *text = g_strdup_printf("{\"spec\":%s,\"state\":\"cancelled\",\"at\":1}", j->spec_text);
-        g_snprintf(key, sizeof key, "job/%s", j->spec.uid);
-        put(key, text);
-        g_free(text);
-        for (int c = 0; c < bookings_chunks(j); c++) {
-            bookings_key(j, c, key, sizeof key);
-            put(key, NULL);
-        }
-    }
-    for (int p = 0; p < 256; p++) {
-        g_snprintf(key, sizeof key, "fleet/0/%d", p);
-        put(key, NULL);
-    }
-    assert_int_equal(records_of(0)->len, 0);
-    assert_int_equal(jobs_active()->len, 0);
-}
-
 /* Gangs: all in one zone or nothing, whole machines kept together for them, and room made only where it is enough. */
 static void gangs(void **state) {
     (void)state;
@@ -135,15 +43,15 @@
         for (int z = 0; z < 3; z++) {
             for (int i = 0; i < rows[r].free[z] + rows[r].filled[z]; i++) {
                 g_snprintf(name, sizeof name, "i-%zu%02d", r + 1, id++);
-                struct machine *m = machine(name, zones[z], false);
+                struct machine *m = owned_machine(name, zones[z], false);
                 if (i >= rows[r].free[z]) filled[n++] = m;
             }
         }
         g_snprintf(uid, sizeof uid, "req-3%zu01", r);
-        struct job *array = job(uid, "batch", "normal", 9, 6, 1, false, true, 200);
-        if (n) book(array, filled, n);
+        struct job *array = owned_job(uid, "batch", "normal", 9, 6, 1, false, true, 200);
+        if (n) owned_book(array, filled, n);
         g_snprintf(uid, sizeof uid, "req-3%zu02", r);
-        struct job *gang = job(uid, "group", "high", rows[r].tasks, 14, 2, rows[r].together, false, 5);
+        struct job *gang = owned_job(uid, "group", "high", rows[r].tasks, 14, 2, rows[r].together, false, 5);
         struct round *round = rounds_decide(0, 20);
         if (rounds_planned(round, uid) != rows[r].booked)
             fail_msg("%s: %d booked", rows[r].what, rounds_planned(round, uid));
@@ -163,7 +71,7 @@
             assert_true(gang->hungry);
         }
         rounds_round_free(round);
-        clear();
+        owned_clear();
     }
     store_unlock();
 }
@@ -172,15 +80,15 @@
 static void waiting_bound(void **state) {
     (void)state;
     store_lock();
-    machine("i-800", "za", false);
-    struct job *late = job("req-40001", "batch", "normal", 1, 16, 2, false, false, 120);
-    job("req-40002", "batch", "normal", 1, 16, 2, false, false, 1);
+    owned_machine("i-800", "za", false);
+    struct job *late = owned_job("req-40001", "batch", "normal", 1, 16, 2, false, false, 120);
+    owned_job("req-40002", "batch", "normal", 1, 16, 2, false, false, 1);
     late->spec.runtime_s = 5000; /* reaches none of its times */
     struct round *round = rounds_decide(0, 20);
     assert_int_equal(rounds_planned(round, "req-40001"), 1);
     assert_int_equal(rounds_planned(round, "req-40002"), 0);
     rounds_round_free(round);
-    clear();
+    owned_clear();
     store_unlock();
 }
 
@@ -189,10 +97,10 @@
     (void)state;
     char uid[32];
     store_lock();
-    machine("i-810", "za", false);
+    owned_machine("i-810", "za", false);
     for (int i = 0; i < 10; i++) {
         g_snprintf(uid, sizeof uid, "req-5%04d", i);
-        job(uid, "batch", "normal", 1, 8, 1, false, false, 10 - i);
+        owned_job(uid, "batch", "normal", 1, 8, 1, false, false, 10 - i);
     }
     static const struct { int left, most; } rows[] = {{0, 0}, {1, 0}, {2, 2}, {20, 20}};
     for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
@@ -203,7 +111,7 @@
         rounds_round_free(round);
     }
     assert_true(jobs_find("req-50009")->hungry);
-    clear();
+    owned_clear();
     store_unlock();
 }
 
@@ -213,7 +121,7 @@
     struct rent_order out[16];
     store_lock();
     records_shares[0].since = (struct timespec){0, 0};
-    struct job *j = job("req-60001", "batch", "normal", 300, 8, 1, false, false, 10);
+    struct job *j = owned_job("req-60001", "batch", "normal", 300, 8, 1, false, false, 10);
     rounds_round_free(rounds_decide(0, 20));
     assert_true(j->hungry);
     int n = renting_plan(out, 16), machines = 0;
@@ -231,7 +139,7 @@
     }
     assert_int_equal(renting_plan(out, 16), 0);
     g_hash_table_remove_all(records_newcomers());
-    clear();
+    owned_clear();
     store_unlock();
 }
 
@@ -258,17 +166,17 @@
         int total = rows[i].busy + rows[i].empty, machines = 0;
         for (int n = 0; n < total; n++) {
             g_snprintf(id, sizeof id, "i-8%03d", n);
-            all[n] = machine(id, zones[n % 3], false);
+            all[n] = owned_machine(id, zones[n % 3], false);
         }
-        struct job *gang = job(one, "group", "high", 1, 14, 2, true, false, rows[i].gang_age);
-        struct job *rest = job(two, "standing", "high", rows[i].busy - 1, 14, 2, false, false, 600);
-        book(gang, all, 1);
-        book(rest, all + 1, rows[i].busy - 1);
+        struct job *gang = owned_job(one, "group", "high", 1, 14, 2, true, false, rows[i].gang_age);
+        struct job *rest = owned_job(two, "standing", "high", rows[i].busy - 1, 14, 2, false, false, 600);
+        owned_book(gang, all, 1);
+        owned_book(rest, all + 1, rows[i].busy - 1);
         rounds_round_free(rounds_decide(0, 20));
         struct rent_order out[16];
         int n = renting_plan(out, 16);
         for (int o = 0; o < n; o++) machines += out[o].spot ? 1000 : out[o].count;
-        clear();
+        owned_clear();
         if (machines != rows[i].want) {
             store_unlock();
             fail_msg("%s: %d", rows[i].what, machines);
@@ -315,11 +223,11 @@
         store_lock();
         for (int n = 0; n < total; n++) {
             g_snprintf(id, sizeof id, "i-7%zu%03d", i, n);
-            all[n] = machine(id, n < rows[i].here ? "za" : "zb", false);
+            all[n] = owned_machine(id, n < rows[i].here ? "za" : "zb", false);
         }
         g_snprintf(uid, sizeof uid, "req-7100%02zu", i);
-        struct job *j = job(uid, "batch", "high", rows[i].silent, 1, 1, false, false, 100);
-        if (rows[i].booked) book(j, all, rows[i].silent);
+        struct job *j = owned_job(uid, "batch", "high", rows[i].silent, 1, 1, false, false, 100);
+        if (rows[i].booked) owned_book(j, all, rows[i].silent);
         for (int n = 0; n < rows[i].silent; n++) {
             ago(all[n], rows[i].s);
             all[n]->unanswered = rows[i].unanswered;
@@ -338,7 +246,7 @@
             for (int n = 0; n < total; n++) grace &= !all[n]->want_return;
         }
         for (int n = 0; n < total; n++) all[n]->want_return = false;
-        clear();
+        owned_clear();
         store_unlock();
         if (back != rows[i].want) fail_msg("%s: %d", rows[i].what, back);
         if (!grace) fail_msg("%s: returned when the zone was back", rows[i].what);
@@ -375,7 +283,7 @@
         if (used[p]) pages[p] = records_page_value(0, p, &count);
     for (int p = 0; p < 256; p++) {
         g_snprintf(id, sizeof id, "fleet/0/%d", p);
-        if (pages[p]) store_apply(id, pages[p], ++stamp);
+        if (pages[p]) store_apply(id, pages[p], owned_next_stamp());
         cJSON_Delete(pages[p]);
     }
     assert_int_equal(records_of(0)->len, FLEET);
@@ -389,12 +297,12 @@
     for (int k = 0; k < JOBS; k++) {
         struct machine *on[TASKS];
         g_snprintf(uid, sizeof uid, "req-7%05d", k);
-        struct job *j = job(uid, "batch", "normal", TASKS, 8, 1, false, true, 30);
+        struct job *j = owned_job(uid, "batch", "normal", TASKS, 8, 1, false, true, 30);
         for (int t = 0; t < TASKS; t++) on[t] = all[(k * TASKS + t) / 2];
-        book(j, on, TASKS);
+        owned_book(j, on, TASKS);
     }
     /* 1,900 machines are full; 100 have room for 40 new tasks. */
-    job("req-790001", "batch", "normal", 40, 8, 1, false, true, 1);
+    owned_job("req-790001", "batch", "normal", 40, 8, 1, false, true, 1);
     unsigned long before = placement_looks();
     struct round *round = rounds_decide(0, 20);
     assert_int_equal(rounds_planned(round, "req-790001"), 40);
@@ -403,15 +311,15 @@
     assert_int_equal(rounds_changes(round), 1); /* however many machines it touches */
     rounds_round_free(round);
     /* With nothing waiting, nothing is looked at. */
-    put("run/req-790001/0", NULL);
+    owned_put("run/req-790001/0", NULL);
     struct job *j = jobs_find("req-790001");
-    book(j, all + 1900, 40);
+    owned_book(j, all + 1900, 40);
     before = placement_looks();
     round = rounds_decide(0, 20);
     assert_int_equal(rounds_planned(round, NULL), 0);
     assert_int_equal(placement_looks() - before, 0);
     rounds_round_free(round);
-    clear();
+    owned_clear();
     store_unlock();
 }
 
@@ -422,7 +330,8 @@
     g_free(text);
     owned_start(&cfg);
     store_lock();
-    put("types",
+    owned_put(
+        "types",
         "{\"flavours\":[{\"sku\":\"g16\",\"vcpus\":16,\"gpus\":2,\"memory_gb\":64,\"hourly\":7,\"market_price\":2,"
         "\"startup_s\":25,\"sites\":[\"za\",\"zb\",\"zc\"]}]}");
     store_unlock();
--- /dev/null
+++ b/tests/standin/owned.c
@@ -0,0 +1,115 @@
+#include "owned.h"
+
+#include <string.h>
+
+#include "bookings/bookings.h"
+#include "site.h"
+
+int64_t owned_next_stamp(void) {
+    static int64_t stamp = 1000000;
+    return ++stamp;
+}
+
+void owned_start(const struct settings *s) {
+    base_log_init("error");
+    service_init(s);
+    store_mirror_start();
+    membership_start();
+    for (int i = 0; i < 100; i++) {
+        store_lock();
+        bool mine = membership_mine(0);
+        store_unlock();
+        if (mine) break;
+        base_sleep(base_span(0.1));
+    }
+}
+
+void owned_put(const char *key, const char *json) {
+    cJSON *x = json ? cJSON_Parse(json) : NULL;
+    assert_true(!json || x);
+    store_apply(key, x, owned_next_stamp());
+    cJSON_Delete(x);
+}
+
+/* A steady machine of ours with a free room of 16 CPUs, 2 GPUs, 64 GB, on page 0 and up. */
+struct machine *owned_machine(const char *id, const char *zone, bool spot) {
+    records_rented(0, id, "g16", zone, spot);
+    struct records_newcomer *n = g_hash_table_lookup(records_newcomers(), id);
+    int page = n->page = records_page_for(0, id), count;
+    cJSON *v = records_page_value(0, page, &count);
+    char key[32];
+    g_snprintf(key, sizeof key, "fleet/0/%d", page);
+    store_apply(key, v, owned_next_stamp());
+    cJSON_Delete(v);
+    struct machine *m = records_find(id);
+    assert_non_null(m);
+    assert_true(records_mine(m));
+    m->up = true;
+    m->seen_fence = records_token(m);
+    m->reported = m->heard = base_now();
+    m->rows = 6;
+    return m;
+}
+
+struct job *owned_job(const char *uid, const char *shape, const char *rank, int tasks, double cpus, double gpus,
+                      bool together, bool reclaimable, double age) {
+    char *json = g_strdup_printf(
+        "{\"spec\":{\"uid\":\"%s\",\"jobclass\":\"c\",\"owner\":\"green\",\"shape\":\"%s\",\"rank\":\"%s\",\"tasks\":%"
+        "d,"
+        "\"vcpus\":%f,\"gpus\":%f,\"memory_gb\":4,\"image\":\"i\",\"pull_gb\":1,\"together\":%s,\"spread\":false,"
+        "\"reclaimable\":%s,\"runtime_s\":50,\"checkpoint_s\":15,\"flush_s\":2},\"state\":\"queued\",\"at\":%f}",
+        uid, shape, rank, tasks, cpus, gpus, together ? "true" : "false", reclaimable ? "true" : "false",
+        base_time_of_day() - age);
+    char key[64];
+    g_snprintf(key, sizeof key, "job/%s", uid);
+    owned_put(key, json);
+    g_free(json);
+    struct job *j = jobs_find(uid);
+    assert_non_null(j);
+    assert_int_equal(jobs_share(j), 0);
+    return j;
+}
+
+/* Books tasks 0.. of the job, one on each of the machines named by index, running for long. */
+void owned_book(struct job *j, struct machine **on, int n) {
+    GArray *plans = g_array_new(FALSE, FALSE, sizeof(struct placement_plan));
+    for (int i = 0; i < n; i++) {
+        struct placement_plan p = {on[i], j, i, 100 + i};
+        g_array_append_val(plans, p);
+    }
+    char key[96];
+    cJSON *v = bookings_value(j, 0, bookings_stretch(j), plans, false);
+    bookings_key(j, 0, key, sizeof key);
+    store_apply(key, v, owned_next_stamp());
+    cJSON_Delete(v);
+    g_array_free(plans, TRUE);
+    for (guint i = 0; i < j->bookings->len; i++) {
+        struct booking *b = j->bookings->pdata[i];
+        b->inherited = false;
+        b->seen = true;
+        b->state = TASK_RUNNING;
+        b->changed.tv_sec -= 100;
+    }
+}
+
+/* Everything of a test goes, so that the next begins with an empty share. */
+void owned_clear(void) {
+    char key[96];
+    for (guint i = jobs_active()->len; i-- > 0;) {
+        struct job *j = jobs_active()->pdata[i];
+        char *text = g_strdup_printf("{\"spec\":%s,\"state\":\"cancelled\",\"at\":1}", j->spec_text);
+        g_snprintf(key, sizeof key, "job/%s", j->spec.uid);
+        owned_put(key, text);
+        g_free(text);
+        for (int c = 0; c < bookings_chunks(j); c++) {
+            bookings_key(j, c, key, sizeof key);
+            owned_put(key, NULL);
+        }
+    }
+    for (int p = 0; p < 256; p++) {
+        g_snprintf(key, sizeof key, "fleet/0/%d", p);
+        owned_put(key, NULL);
+    }
+    assert_int_equal(records_of(0)->len, 0);
+    assert_int_equal(jobs_active()->len, 0);
+}
--- a/tests/standin/owned.h
+++ b/tests/standin/owned.h
@@ -2,20 +2,22 @@
 #ifndef FF_STANDIN_OWNED_H
 #define FF_STANDIN_OWNED_H
 #include "membership/membership.h"
+#include "records/records.h"
 #include "service/service.h"
 #include "store/store.h"
 
-static inline void owned_start(const struct settings *s) {
-    base_log_init("error");
-    service_init(s);
-    store_mirror_start();
-    membership_start();
-    for (int i = 0; i < 100; i++) {
-        store_lock();
-        bool mine = membership_mine(0);
-        store_unlock();
-        if (mine) break;
-        base_sleep(base_span(0.1));
-    }
-}
+void owned_start(const struct settings *s);
+
+/* All with store_lock held. */
+int64_t owned_next_stamp(void);
+void owned_put(const char *key, const char *json); /* json NULL: the key goes */
+/* A steady machine of share 0 with a free room of 16 CPUs, 2 GPUs, 64 GB, on a page and up. */
+struct machine *owned_machine(const char *id, const char *zone, bool spot);
+/* A job of team green, which is share 0's, accepted `age` seconds ago. */
+struct job *owned_job(const char *uid, const char *shape, const char *rank, int tasks, double cpus, double gpus,
+                      bool together, bool reclaimable, double age);
+/* Books tasks 0.. of the job, one on each of the machines, running for long. */
+void owned_book(struct job *j, struct machine **on, int n);
+/* Everything of a test goes, so that the next begins with an empty share. */
+void owned_clear(void);
 #endif
