--- a/src/base/base.c
+++ b/src/base/base.c
@@ -49,23 +49,23 @@
     return base_secs(t);
 }
 
-void base_bell_init(struct base_bell *b) {
+void base_wakeup_init(struct base_wakeup *b) {
     pthread_mutex_init(&b->lock, NULL);
     base_cond_init(&b->cond);
-    b->rung = false;
+    b->signalled = false;
 }
 
-void base_bell_ring(struct base_bell *b) {
+void base_wakeup_signal(struct base_wakeup *b) {
     pthread_mutex_lock(&b->lock);
-    b->rung = true;
+    b->signalled = true;
     pthread_cond_signal(&b->cond);
     pthread_mutex_unlock(&b->lock);
 }
 
-void base_bell_await(struct base_bell *b, struct timespec most) {
+void base_wakeup_wait(struct base_wakeup *b, struct timespec most) {
     pthread_mutex_lock(&b->lock);
-    if (!b->rung) base_cond_wait(&b->cond, &b->lock, most);
-    b->rung = false;
+    if (!b->signalled) base_cond_wait(&b->cond, &b->lock, most);
+    b->signalled = false;
     pthread_mutex_unlock(&b->lock);
 }
 
--- a/src/base/base.h
+++ b/src/base/base.h
@@ -20,15 +20,15 @@
 bool base_cond_wait(pthread_cond_t *c, pthread_mutex_t *m, struct timespec span); /* false: time ran out */
 double base_time_of_day(void);
 
-/* A bell that wakes one waiting thread; rung while nobody waits, the next wait returns at once. */
-struct base_bell {
+/* A wakeup that wakes one waiting thread; rung while nobody waits, the next wait returns at once. */
+struct base_wakeup {
     pthread_mutex_t lock;
     pthread_cond_t cond;
-    bool rung;
+    bool signalled;
 };
-void base_bell_init(struct base_bell *b);
-void base_bell_ring(struct base_bell *b);
-void base_bell_await(struct base_bell *b, struct timespec most);
+void base_wakeup_init(struct base_wakeup *b);
+void base_wakeup_signal(struct base_wakeup *b);
+void base_wakeup_wait(struct base_wakeup *b, struct timespec most);
 int base_thread(void *(*fn)(void *), void *arg);
 
 void base_log_init(const char *level);
@@ -51,7 +51,7 @@
 const char *http_path(const struct http_req *r);
 const char *http_body(const struct http_req *r, size_t *len);
 bool http_too_large(const struct http_req *r);
-void http_passing(struct http_req *r); /* one of very many: its connection need not be kept */
+void http_short_lived(struct http_req *r); /* one of very many: its connection need not be kept */
 bool http_crowded(unsigned connections, unsigned most);
 void http_hold(struct http_req *r);
 void http_reply(struct http_req *r, unsigned status, const char *body, int retry_after_s);
--- a/src/base/http.c
+++ b/src/base/http.c
@@ -22,7 +22,7 @@
     GString *body;
     bool too_large, dispatched, held, ready;
     struct http_server *server;
-    bool passing; /* its connection is closed when connections grow scarce */
+    bool short_lived; /* its connection is closed when connections grow scarce */
     unsigned status;
     char *answer;
     int retry_after_s;
@@ -42,7 +42,7 @@
     MHD_suspend_connection(r->conn);
 }
 
-void http_passing(struct http_req *r) { r->passing = true; }
+void http_short_lived(struct http_req *r) { r->short_lived = true; }
 
 bool http_crowded(unsigned connections, unsigned most) { return connections * 2 > most; }
 
@@ -73,7 +73,7 @@
     /* Asked of the connection: a first request may come before the server's start has returned its daemon. */
     const union MHD_ConnectionInfo *of = MHD_get_connection_info(r->conn, MHD_CONNECTION_INFO_DAEMON);
     const union MHD_DaemonInfo *now = of ? MHD_get_daemon_info(of->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS) : NULL;
-    if (r->passing && now && http_crowded(now->num_connections, r->server->most))
+    if (r->short_lived && now && http_crowded(now->num_connections, r->server->most))
         MHD_add_response_header(resp, "Connection", "close");
     enum MHD_Result rc = MHD_queue_response(r->conn, r->status, resp);
     MHD_destroy_response(resp);
--- a/src/chains/chains.c
+++ b/src/chains/chains.c
@@ -10,9 +10,9 @@
 
 static const struct settings *cfg;
 static GPtrArray *to_cancel; /* prerequisites before their dependents; those over meanwhile go with the next look */
-static struct base_bell wake_up;
+static struct base_wakeup wakeup;
 
-void chains_wake(void) { base_bell_ring(&wake_up); }
+void chains_wake(void) { base_wakeup_signal(&wakeup); }
 
 bool chains_waits(const struct job *j) { return j->unmet > 0; }
 bool chains_to_cancel(const struct job *j) { return j->prerequisite_cancelled && j->state == JOB_QUEUED; }
@@ -24,7 +24,9 @@
 
 static void reset_urgency(struct job *j) {
     j->rank = j->spec.rank;
-    j->deadline = j->spec.due_s > 0 ? j->submitted + j->spec.due_s : INFINITY;
+    /* Where no aim of its class counts deadlines, its other aims say what is wanted. */
+    bool counts = j->known && j->spec.due_s > 0 && settings_has_aim(cfg, AIM_DEADLINE, j->spec.jobclass);
+    j->deadline = counts ? j->submitted + j->spec.due_s : INFINITY;
 }
 
 /* A dependent's rank, and its deadline less the time that it runs itself. True if that changed anything. */
@@ -280,7 +282,7 @@
     (void)arg;
     struct http_client *c = http_client_new();
     for (;;) {
-        base_bell_await(&wake_up, base_span(LOOK_S));
+        base_wakeup_wait(&wakeup, base_span(LOOK_S));
         while (write_cancels(c)) base_sleep(base_span(PACE_S));
     }
     return NULL;
@@ -289,7 +291,7 @@
 void chains_init(const struct settings *s) {
     cfg = s;
     to_cancel = g_ptr_array_new();
-    base_bell_init(&wake_up);
+    base_wakeup_init(&wakeup);
 }
 
 void chains_start(void) { base_thread(chains_main, NULL); }
--- a/src/chains/chains_test.c
+++ b/src/chains/chains_test.c
@@ -224,7 +224,12 @@
 
 int main(void) {
     char err[256];
-    if (!settings_parse(SITE_JSON, "f.json", &cfg, err, sizeof err)) return 1;
+    char *text = site_with(SITE_JSON, "\"workers\":",
+                           "\"objectives\":[{\"kind\":\"deadline\",\"class\":\"c\",\"share\":0.9,\"times\":1}],"
+                           "\"workers\":");
+    bool ok = settings_parse(text, "f.json", &cfg, err, sizeof err);
+    g_free(text);
+    if (!ok) return 1;
     base_log_init("fatal");
     store_init(&cfg);
     membership_init(&cfg);
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -24,7 +24,7 @@
 };
 static GHashTable *closed_at; /* "sku site kind" -> closed */
 
-static struct base_bell bell;
+static struct base_wakeup wakeup;
 
 bool cloud_flavours_known(void) { return n_flavours > 0; }
 const struct flavour_info *cloud_flavours(void) { return flavours; }
@@ -75,7 +75,7 @@
              o->spot ? "spot" : "ordinary", c->pause);
 }
 
-void cloud_kick(void) { base_bell_ring(&bell); }
+void cloud_kick(void) { base_wakeup_signal(&wakeup); }
 
 /* The cloud counts the calls of all controllers: each keeps to its part. */
 static double tokens;
@@ -194,7 +194,7 @@
                     m->unwritten = true;
                 }
             } else if (!m && !records_known(id) && strcmp(state, "failed") != 0 && base_num(x, "age_s", 0) > 15) {
-                records_stranger(id, address ? address : "", sku, site, base_flag(x, "reclaimable"));
+                records_adopt(id, address ? address : "", sku, site, base_flag(x, "reclaimable"));
             }
         }
         store_unlock();
@@ -274,7 +274,7 @@
     struct timespec listed = {0, 0}, typed = {0, 0};
     struct timespec began = base_now(), returned = base_now();
     for (;;) {
-        base_bell_await(&bell, base_span(0.25));
+        base_wakeup_wait(&wakeup, base_span(0.25));
         store_lock();
         bool leads = membership_leads(), typed_once = n_flavours > 0;
         double list_every = MAX(2.5, 6 * membership_live() / cfg->cloud_rps);
@@ -327,7 +327,7 @@
     closed_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     tokens_at = base_now();
     tokens = 1;
-    base_bell_init(&bell);
+    base_wakeup_init(&wakeup);
     store_observe("types", apply_types);
 }
 
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -39,7 +39,7 @@
     int failures;
     const char *zone; /* where machines are being gathered for a gang that stays together; NULL: not decided */
     int at_risk;      /* replicas on machines that went silent with their zone: they may have to start elsewhere soon */
-    bool hungry;      /* tasks found no place in the last round */
+    bool unplaced;    /* tasks found no place in the last round */
     struct timespec preempted;
 };
 
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -14,7 +14,7 @@
     char name[64], inc[40];
     int64_t stamp;
     struct timespec since;
-    bool live, deaf;
+    bool live, workers_lost;
 };
 
 static const struct settings *cfg;
@@ -25,17 +25,17 @@
 static int64_t fence_value;
 static char my_inc[40];
 static int64_t my_lease;
-static bool my_deaf;
-static struct timespec deaf_since;
+static bool my_workers_lost;
+static struct timespec workers_lost_since;
 
 /* Both with store_lock held. */
-bool membership_deaf(void) { return my_deaf; }
+bool membership_workers_lost(void) { return my_workers_lost; }
 
-void membership_set_deaf(bool deaf) {
-    if (deaf == my_deaf) return;
-    my_deaf = deaf;
-    deaf_since = base_now();
-    log_info(deaf ? "most workers are silent here: giving the shares to others" : "workers can be reached again");
+void membership_set_workers_lost(bool lost) {
+    if (lost == my_workers_lost) return;
+    my_workers_lost = lost;
+    workers_lost_since = base_now();
+    log_info(lost ? "most workers are silent here: giving the shares to others" : "workers can be reached again");
 }
 
 const struct share *membership_share(int k) { return &shares[k]; }
@@ -98,7 +98,7 @@
     x->live = data != NULL;
     part_budget();
     x->stamp = data ? stamp : 0;
-    x->deaf = base_flag(data, "deaf");
+    x->workers_lost = base_flag(data, "deaf");
     g_strlcpy(x->inc, inc ? inc : "", sizeof x->inc);
 }
 
@@ -169,7 +169,7 @@
 static cJSON *node_value(void) {
     cJSON *o = cJSON_CreateObject();
     cJSON_AddStringToObject(o, "inc", my_inc);
-    if (my_deaf) cJSON_AddBoolToObject(o, "deaf", true);
+    if (my_workers_lost) cJSON_AddBoolToObject(o, "deaf", true);
     return o;
 }
 
@@ -208,7 +208,7 @@
             return true;
         }
     if (format_announce(t)) return true;
-    if (me->deaf != my_deaf) {
+    if (me->workers_lost != my_workers_lost) {
         char key[96];
         snprintf(key, sizeof key, "node/%s", cfg->node);
         add_me(t);
@@ -231,12 +231,12 @@
         return true;
     }
     if (lead != me) return false;
-    int owner[64] = {0}, live[NODES_MOST], n = 0, to = -1, index[NODES_MOST];
+    int owner[64] = {0}, live[NODES_MOST], n = 0, to = -1, index[NODES_MOST] = {0};
     bool hearing = false;
-    for (int i = 0; i < n_nodes; i++) hearing |= nodes[i].live && !nodes[i].deaf;
+    for (int i = 0; i < n_nodes; i++) hearing |= nodes[i].live && !nodes[i].workers_lost;
     for (int i = 0; i < n_nodes; i++) {
         index[i] = -1;
-        if (nodes[i].live && !(hearing && nodes[i].deaf)) {
+        if (nodes[i].live && !(hearing && nodes[i].workers_lost)) {
             index[i] = n;
             live[n++] = i;
         }
@@ -244,14 +244,14 @@
     bool orphans = false;
     for (int k = 0; k < cfg->size; k++) {
         struct node *o = shares[k].owner[0] ? find_node(shares[k].owner) : NULL;
-        owner[k] = o && o->live ? index[o - nodes] : -1; /* -1 for a deaf one, too */
+        owner[k] = o && o->live ? index[o - nodes] : -1; /* -1 for one that has lost the workers, too */
         if (owner[k] < 0) orphans = true;
     }
     int k = membership_plan(cfg->size, owner, n, &to);
     if (k < 0) return false;
     struct node *target = &nodes[live[to]];
-    /* A planned shift waits until the newcomer has stayed a while, so that shares don't flap with it, and until what
-     * brought the newcomer has passed: a new owner has to ask all machines anew. */
+    /* A planned shift waits until the controller has stayed a while, so that shares don't flap with it, and until what
+     * brought the controller has passed: a new owner has to ask all machines anew. */
     double settled = base_secs(cfg->lease) / 2;
     if (!orphans && (base_since(target->since) < settled || base_since(shares[k].changed) < settled)) return false;
     struct node *was = shares[k].owner[0] ? find_node(shares[k].owner) : NULL;
@@ -310,11 +310,11 @@
             }
         }
         store_lock();
-        bool try_again = my_deaf && base_since(deaf_since) > 15;
+        bool try_again = my_workers_lost && base_since(workers_lost_since) > 15;
         store_unlock();
         if (try_again && watch_try_workers(c)) {
             store_lock();
-            membership_set_deaf(false);
+            membership_set_workers_lost(false);
             store_unlock();
         }
         struct store_txn t;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -24,8 +24,8 @@
 bool membership_leads(void); /* this node is the leader */
 
 /* A controller that no longer hears the workers says so in its record; its shares go to those who may hear them. */
-void membership_set_deaf(bool deaf);
-bool membership_deaf(void);
+void membership_set_workers_lost(bool lost);
+bool membership_workers_lost(void);
 
 /* Pure: the part of the store's changes that is due to a controller with so many shares. */
 double membership_writing_part(int live, int size, int owned);
--- a/src/membership/membership_test.c
+++ b/src/membership/membership_test.c
@@ -10,7 +10,7 @@
         int size, owner[6], nodes, share, to;
     } rows[] = {
         {3, {0, 1, 2}, 3, -1, 0},   /* even: nothing moves */
-        {3, {0, 0, 0}, 2, 0, 1},    /* one has all, a newcomer gets one */
+        {3, {0, 0, 0}, 2, 0, 1},    /* one has all, a new one gets one */
         {3, {0, 0, 1}, 2, -1, 0},   /* a difference of one stays: no flapping */
         {3, {0, -1, 0}, 2, 1, 1},   /* an orphan goes first, to who has least */
         {3, {-1, -1, -1}, 1, 0, 0}, /* the last one takes all */
--- a/src/records/records.c
+++ b/src/records/records.c
@@ -12,7 +12,7 @@
 static GHashTable *by_id;
 static GPtrArray *machines;
 static GPtrArray *of_share[RECORDS_SHARES];
-static GHashTable *newcomers;
+static GHashTable *unregistered;
 static GHashTable *gone; /* ids that were recorded and are no more: a stale list must not bring them back */
 static bool refused;
 static bool stale[RECORDS_SHARES][RECORDS_PAGES]; /* lists machines that a later record has moved to another page */
@@ -25,7 +25,7 @@
 }
 GPtrArray *records_machines(void) { return machines; }
 GPtrArray *records_of(int k) { return of_share[k]; }
-GHashTable *records_newcomers(void) { return newcomers; }
+GHashTable *records_unregistered_all(void) { return unregistered; }
 bool records_refused(void) { return refused; }
 
 int records_share_of(const char *id) {
@@ -38,7 +38,7 @@
 }
 
 bool records_known(const char *id) {
-    return records_find(id) || g_hash_table_contains(newcomers, id) || g_hash_table_contains(gone, id);
+    return records_find(id) || g_hash_table_contains(unregistered, id) || g_hash_table_contains(gone, id);
 }
 
 bool records_leaving(const struct machine *m) { return m->returning || m->want_return || m->dead; }
@@ -49,10 +49,10 @@
     m = g_new0(struct machine, 1);
     g_strlcpy(m->id, id, sizeof m->id);
     m->bookings = g_ptr_array_new();
-    m->strays = g_array_new(FALSE, FALSE, sizeof(struct stray));
+    m->unknown_tasks = g_array_new(FALSE, FALSE, sizeof(struct unknown_task));
     m->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     m->warning = -1;
-    m->share = m->pass_to = m->page = m->next_page = -1;
+    m->share = m->transfer_to = m->page = m->next_page = -1;
     g_hash_table_insert(by_id, m->id, m);
     g_ptr_array_add(machines, m);
     return m;
@@ -63,7 +63,7 @@
     if (m->share >= 0) g_ptr_array_remove_fast(of_share[m->share], m);
     m->share = share;
     m->owned_fence = 0;
-    m->pass_to = m->next_page = -1;
+    m->transfer_to = m->next_page = -1;
     m->leave = false;
     if (share >= 0) g_ptr_array_add(of_share[share], m);
 }
@@ -74,7 +74,7 @@
     g_hash_table_remove(by_id, m->id);
     g_ptr_array_remove_fast(machines, m);
     g_ptr_array_free(m->bookings, TRUE);
-    g_array_free(m->strays, TRUE);
+    g_array_free(m->unknown_tasks, TRUE);
     g_hash_table_destroy(m->images);
     g_free(m);
 }
@@ -101,7 +101,7 @@
     /* The page that it was on still lists it, unless that is written without it at the same time. */
     if (m->known && m->share >= 0 && m->page >= 0 && m->page < RECORDS_PAGES && (m->share != share || m->page != page))
         stale[m->share][m->page] = true;
-    g_hash_table_remove(newcomers, id);
+    g_hash_table_remove(unregistered, id);
     g_hash_table_remove(gone, id);
     m->known = true;
     m->page = page;
@@ -137,8 +137,8 @@
             whole = false;
             continue;
         }
-        /* Two may record one machine: who rented it, and who heard of it as a stranger meanwhile. The later record
-         * holds, in whatever order they are read: once a controller that had read them anew took the machine for
+        /* Two may record one machine: who rented it, and who heard of it as an unregistered one meanwhile. The later
+         * record holds, in whatever order they are read: once a controller that had read them anew took the machine for
          * another's, left it out of its page, and the others released what ran on it. */
         const struct machine *known = records_find(f[0]->valuestring);
         if (known && known->placed > stamp && (known->share != k || known->page != page)) {
@@ -180,7 +180,7 @@
 
 static void apply_single(const char *id, const cJSON *data, int64_t stamp) {
     /* As for pages: what a later record has shown holds, in whatever order they are read. A page read on its own, ahead
-     * of the watch, was once undone by the passing before it: machines that ran tasks were taken for gone. */
+     * of the watch, was once undone by the transfer before it: machines that ran tasks were taken for gone. */
     struct machine *placed = records_find(id);
     if (placed && placed->placed > stamp) return;
     if (!data) {
@@ -221,7 +221,7 @@
     m->owned_fence = f;
     m->heard = m->reported = m->mine_since = base_now();
     m->unknown = m->need_raise = m->draining = m->want_return = m->dead = m->answered = false;
-    m->pass_to = -1;
+    m->transfer_to = -1;
     m->seen_fence = m->ordered_tenure = 0;
     m->ignored = m->unanswered = 0;
     m->up = m->bookings->len > 0;
@@ -261,8 +261,9 @@
     m->rows++;
 }
 
-static void add_newcomer(int share, const char *id, const char *address, const char *sku, const char *site, bool spot) {
-    struct records_newcomer *n = g_new0(struct records_newcomer, 1);
+static void add_unregistered(int share, const char *id, const char *address, const char *sku, const char *site,
+                             bool spot) {
+    struct records_unregistered *n = g_new0(struct records_unregistered, 1);
     g_strlcpy(n->id, id, sizeof n->id);
     g_strlcpy(n->address, address, sizeof n->address);
     g_strlcpy(n->sku, sku, sizeof n->sku);
@@ -271,19 +272,19 @@
     n->share = share;
     n->page = -1;
     n->born = base_time_of_day();
-    g_hash_table_replace(newcomers, n->id, n);
+    g_hash_table_replace(unregistered, n->id, n);
     rounds_kick();
 }
 
-void records_stranger(const char *id, const char *address, const char *sku, const char *site, bool spot) {
+void records_adopt(const char *id, const char *address, const char *sku, const char *site, bool spot) {
     int k = records_share_of(id);
     if (records_known(id) || !membership_mine(k)) return;
     log_info("machine %s: unexpected, adopting it for share %d", id, k);
-    add_newcomer(k, id, address, sku, site, spot);
+    add_unregistered(k, id, address, sku, site, spot);
 }
 
 void records_rented(int share, const char *id, const char *sku, const char *site, bool spot) {
-    if (!records_find(id)) add_newcomer(share, id, "", sku, site, spot);
+    if (!records_find(id)) add_unregistered(share, id, "", sku, site, spot);
 }
 
 void records_returned(const char *id) {
@@ -346,9 +347,9 @@
     }
     GHashTableIter it;
     gpointer v;
-    g_hash_table_iter_init(&it, newcomers);
+    g_hash_table_iter_init(&it, unregistered);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const struct records_newcomer *c = v;
+        const struct records_unregistered *c = v;
         if (c->share == k && c->page >= 0 && c->page < RECORDS_PAGES) fill_add(&pages[c->page], c->id, true);
     }
 }
@@ -439,9 +440,9 @@
     }
     GHashTableIter it;
     gpointer v;
-    g_hash_table_iter_init(&it, newcomers);
+    g_hash_table_iter_init(&it, unregistered);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        const struct records_newcomer *c = v;
+        const struct records_unregistered *c = v;
         if (c->share != k || c->page != page) continue;
         add_entry(list, &l, c->id, c->address, c->sku, c->site, c->spot, 0, c->born, NULL);
         (*count)++;
@@ -482,7 +483,7 @@
     cfg = s;
     by_id = g_hash_table_new(g_str_hash, g_str_equal);
     gone = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-    newcomers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+    unregistered = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
     machines = g_ptr_array_new();
     for (int k = 0; k < RECORDS_SHARES; k++) of_share[k] = g_ptr_array_new();
     store_observe("fleet/", apply_page);
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -27,7 +27,7 @@
     struct timespec booked, changed;
 };
 
-struct stray {
+struct unknown_task {
     char task[96];
     int64_t attempt;
     bool ended;
@@ -62,14 +62,14 @@
     bool answered;      /* its last report got a 200 under the token it should show by now */
     int ignored;        /* reports in a row that show nothing of what we answered */
     bool unwritten;     /* its address is known, but not on record */
-    GArray *strays;
+    GArray *unknown_tasks;
     double occ[RECORDS_WINDOW][3];
     int rows;
     GHashTable *images;
     int faults;
     bool draining, want_return, dead, had_task;
-    int pass_to; /* share that it is to pass to, -1: none */
-    struct timespec pass_since;
+    int transfer_to; /* share that it is to pass to, -1: none */
+    struct timespec transfer_since;
     struct timespec drain_since;
     /* scratch of a round */
     bool open, touched, leave;
@@ -78,7 +78,7 @@
     double occupancy, used_cpu, used_gpu, used_mem;
 };
 
-struct records_newcomer { /* rented or found, not yet recorded */
+struct records_unregistered { /* rented or found, not yet recorded */
     char id[64], address[64], sku[64], site[64];
     bool spot;
     int share;
@@ -119,13 +119,13 @@
     int count, share;
     int weight; /* how much waits for it */
 };
-GHashTable *records_newcomers(void); /* id -> records_newcomer */
-void records_stranger(const char *id, const char *address, const char *sku, const char *site, bool spot);
+GHashTable *records_unregistered_all(void); /* id -> records_unregistered */
+void records_adopt(const char *id, const char *address, const char *sku, const char *site, bool spot);
 void records_rented(int share, const char *id, const char *sku, const char *site, bool spot);
 
 /* Pages: as many machines of a share as a value holds, so that one change carries what a round decided for all of them.
  * Scratch fields decide: `leave` keeps a machine out, `next_fence` raises its token, `next_page` brings one in, as does
- * a newcomer's page. */
+ * an unregistered one's page. */
 cJSON *records_page_value(int k, int page, int *count);
 int records_page_for(int k, const char *id); /* a page with room for one more */
 /* The pages that could not be rewritten under the service's next limit. Their machines are written to others, a page of
--- a/src/records/records_test.c
+++ b/src/records/records_test.c
@@ -35,9 +35,9 @@
     GHashTableIter it;
     gpointer v;
     uint8_t used[256] = {0};
-    g_hash_table_iter_init(&it, records_newcomers());
+    g_hash_table_iter_init(&it, records_unregistered_all());
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        struct records_newcomer *n = v;
+        struct records_unregistered *n = v;
         n->page = records_page_for(1, n->id);
         assert_in_range(n->page, 0, 255);
         used[n->page] = 1;
@@ -61,7 +61,7 @@
         put(key, values[p]);
         cJSON_Delete(values[p]);
     }
-    assert_int_equal(g_hash_table_size(records_newcomers()), 0);
+    assert_int_equal(g_hash_table_size(records_unregistered_all()), 0);
     assert_int_equal(records_of(1)->len, FLEET);
     struct machine *m = records_find("i-000003");
     assert_true(m->spot);
@@ -149,8 +149,8 @@
     cJSON_Delete(x);
 }
 
-/* One machine on two pages: who rented it and who heard of it as a stranger have both recorded it. The later record
- * holds, in whatever order they are read, and the other's loss of it proves nothing about its tasks. */
+/* One machine on two pages: who rented it and who heard of it as an unregistered one have both recorded it. The later
+ * record holds, in whatever order they are read, and the other's loss of it proves nothing about its tasks. */
 static void recorded_twice(void **state) {
     (void)state;
     for (int order = 0; order < 2; order++) {
@@ -175,18 +175,19 @@
     }
 }
 
-/* A machine passes between shares, and its new page is read ahead of the watch, which then tells of the passing. */
+/* A machine is transferred between shares, and its new page is read ahead of the watch, which then tells of the
+ * transfer. */
 static void read_ahead(void **state) {
     (void)state;
     cJSON *page = cJSON_Parse("{\"sku\":[\"g\"],\"site\":[\"za\"],\"m\":[[\"i-009005\",\"\",0,0,0,0,1,\"\"]]}"),
           *none = cJSON_Parse("{\"sku\":[\"g\"],\"site\":[\"za\"],\"m\":[]}"),
-          *passing = cJSON_Parse("{\"share\":1,\"fence\":3,\"address\":\"\",\"flavour\":\"g\",\"site\":\"za\"}");
+          *transfer = cJSON_Parse("{\"share\":1,\"fence\":3,\"address\":\"\",\"flavour\":\"g\",\"site\":\"za\"}");
     int64_t at = stamp += 10;
     store_lock();
     store_apply("fleet/0/98", page, at);
     store_apply("fleet/1/98", page, at + 5); /* the newest, read on its own */
     store_apply("fleet/0/98", none, at + 2);
-    store_apply("machine/i-009005", passing, at + 2);
+    store_apply("machine/i-009005", transfer, at + 2);
     store_apply("fleet/1/98", page, at + 4);
     store_apply("machine/i-009005", NULL, at + 4);
     struct machine *m = records_find("i-009005");
@@ -199,7 +200,7 @@
     stamp += 10;
     cJSON_Delete(page);
     cJSON_Delete(none);
-    cJSON_Delete(passing);
+    cJSON_Delete(transfer);
 }
 
 /* A page that can't be read in full takes nobody off the record: what runs there would be started again. */
--- a/src/renting/renting.c
+++ b/src/renting/renting.c
@@ -7,9 +7,9 @@
 #include "../bookings/bookings.h"
 #include "../cloud/cloud.h"
 #include "../membership/membership.h"
-#include "../passing/passing.h"
 #include "../placement/placement.h"
 #include "../rounds/rounds.h"
+#include "../transfer/transfer.h"
 #include "../watch/watch.h"
 
 static const struct settings *cfg;
@@ -165,9 +165,9 @@
     }
     GHashTableIter it;
     gpointer v;
-    g_hash_table_iter_init(&it, records_newcomers());
+    g_hash_table_iter_init(&it, records_unregistered_all());
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        struct records_newcomer *c = v;
+        struct records_unregistered *c = v;
         if (c->share != k) continue;
         renting_vm_add(vms, c->sku, c->site, c->spot);
         have++;
@@ -177,18 +177,18 @@
     int waiting = 0;
     for (guint i = 0; i < order->len; i++) {
         const struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        if (j->hungry) waiting += rounds_missing(j);
+        if (j->unplaced) waiting += rounds_missing(j);
     }
     zone_lot = CLAMP(waiting / 8, 1, 48);
     /* What another share is about to pass needs no rental; if it doesn't come soon, it is rented after all. */
     double waited = 0;
     for (guint i = 0; i < order->len; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        if (j->hungry && !j->spec.reclaimable) waited = MAX(waited, base_since(j->seen));
+        if (j->unplaced && !j->spec.reclaimable) waited = MAX(waited, base_since(j->seen));
     }
     for (guint i = 0; i < records_machines()->len && waited < 4; i++) {
         struct machine *m = records_machines()->pdata[i];
-        if (m->share == k || m->share < 0 || !passing_passable(m) || m->pass_to >= 0) continue;
+        if (m->share == k || m->share < 0 || !transfer_possible(m) || m->transfer_to >= 0) continue;
         guint before = vms->len;
         renting_vm_add(vms, m->sku, m->site, false);
         if (vms->len > before) g_array_index(vms, struct renting_vm, before).foreign = true;
@@ -199,8 +199,8 @@
     int cap = (int)cfg->tuning.machines_per_share;
     for (guint i = 0; i < order->len; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        if (!j->hungry && !j->at_risk) continue;
-        int left = j->spec.shape == JOB_GROUP ? j->spec.tasks : (j->hungry ? rounds_missing(j) : 0) + j->at_risk;
+        if (!j->unplaced && !j->at_risk) continue;
+        int left = j->spec.shape == JOB_GROUP ? j->spec.tasks : (j->unplaced ? rounds_missing(j) : 0) + j->at_risk;
         double used = 0;
         char site[64] = "";
         if (placement_site(j))
--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -9,18 +9,18 @@
 #include "../cloud/cloud.h"
 #include "../ledger/ledger.h"
 #include "../membership/membership.h"
-#include "../passing/passing.h"
 #include "../placement/placement.h"
 #include "../preempt/preempt.h"
 #include "../renting/renting.h"
+#include "../transfer/transfer.h"
 #include "../watch/watch.h"
 #include "../workers/workers.h"
 
 static const struct settings *cfg;
 
-static struct base_bell bell;
+static struct base_wakeup wakeup;
 
-void rounds_kick(void) { base_bell_ring(&bell); }
+void rounds_kick(void) { base_wakeup_signal(&wakeup); }
 
 /* ---- a round: decide under the lock, write outside it, apply what was written ---- */
 
@@ -87,7 +87,7 @@
             m->used_gpu += x->job->spec.gpus;
             m->used_mem += x->job->spec.memory_gb;
         }
-        m->open = m->up && m->page >= 0 && m->flavour && !records_leaving(m) && !m->draining && m->pass_to < 0 &&
+        m->open = m->up && m->page >= 0 && m->flavour && !records_leaving(m) && !m->draining && m->transfer_to < 0 &&
                   m->warning < 0 && !m->need_raise && !m->unknown && m->ignored == 0 &&
                   m->seen_fence >= records_token(m) && base_since(m->reported) < quiet && m->bookings->len < 200 &&
                   !watch_zone_cut(k, m->site);
@@ -219,8 +219,8 @@
 static bool holds_ended(const struct machine *m, const char *uid, int task, int64_t attempt) {
     char name[96];
     snprintf(name, sizeof name, "%s/%d", uid, task);
-    for (guint i = 0; i < m->strays->len; i++) {
-        const struct stray *s = &g_array_index(m->strays, struct stray, i);
+    for (guint i = 0; i < m->unknown_tasks->len; i++) {
+        const struct unknown_task *s = &g_array_index(m->unknown_tasks, struct unknown_task, i);
         if (s->attempt == attempt && strcmp(s->task, name) == 0) return true;
     }
     return false;
@@ -270,7 +270,7 @@
         const struct booking *x = j->bookings->pdata[b];
         if (!x->over) busy[x->task / 8] |= (uint8_t)(1 << (x->task % 8));
     }
-    bool hungry = false;
+    bool unplaced = false;
     for (int t = 0; t < j->spec.tasks && missing > 0; t++) {
         if (jobs_bit(busy, t)) continue;
         if (!preempt_quota_left(&u[j->spec.team], &j->spec, 1)) break;
@@ -291,7 +291,7 @@
             }
         }
         if (!m) {
-            hungry = true;
+            unplaced = true;
             break;
         }
         if (t / size != chunk) {
@@ -308,7 +308,7 @@
         missing--;
     }
     g_free(busy);
-    return hungry;
+    return unplaced;
 }
 
 static bool plan_group(struct round *r, struct job *j, bool within, GPtrArray *mine, GPtrArray *room,
@@ -365,7 +365,7 @@
     for (guint i = 0; i < order->len; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
         missing[i] = rounds_missing(j);
-        if (missing[i] <= 0) j->hungry = false;
+        if (missing[i] <= 0) j->unplaced = false;
         if (missing[i] <= 0) continue;
         cpu = MIN(cpu, j->spec.vcpus);
         gpu = MIN(gpu, j->spec.gpus);
@@ -397,18 +397,18 @@
                 if (missing[i] <= 0 || base_since(j->retry_at) < 0) continue;
                 free_cpu -= missing[i] * j->spec.vcpus;
                 free_gpu -= missing[i] * j->spec.gpus;
-                j->hungry = free_cpu < 0 || free_gpu < 0;
-                records_shares[k].fit_nowhere |= j->hungry;
+                j->unplaced = free_cpu < 0 || free_gpu < 0;
+                records_shares[k].fit_nowhere |= j->unplaced;
             }
             break;
         }
         free_cpu -= missing[i] * j->spec.vcpus;
         free_gpu -= missing[i] * j->spec.gpus;
         guint before = r->plans->len;
-        j->hungry = j->spec.shape == JOB_GROUP ? plan_group(r, j, within, mine, room, &rules, u)
-                                               : plan_tasks(r, j, within, missing[i], mine, room, &rules, u);
+        j->unplaced = j->spec.shape == JOB_GROUP ? plan_group(r, j, within, mine, room, &rules, u)
+                                                 : plan_tasks(r, j, within, missing[i], mine, room, &rules, u);
         jobs_planned += r->plans->len > before;
-        if (j->hungry) records_shares[k].fit_nowhere = true;
+        if (j->unplaced) records_shares[k].fit_nowhere = true;
     }
     /* Only what stays planned is written: a gang's tries that came to nothing are not. */
     for (guint i = 0; i < r->plans->len; i++) g_array_index(r->plans, struct placement_plan, i).m->touched = true;
@@ -537,7 +537,7 @@
         for (guint i = 0; i < records_of(k)->len; i++) {
             struct machine *m = records_of(k)->pdata[i];
             if (m->page < 0 || m->page >= RECORDS_PAGES || !p->large[m->page] || m->next_page >= 0) continue;
-            bool change = m->need_raise || (m->want_return && !m->returning) || m->pass_to >= 0;
+            bool change = m->need_raise || (m->want_return && !m->returning) || m->transfer_to >= 0;
             if (m->dead || (urgent && !change)) continue;
             int to = records_page_for(k, m->id);
             if (to < 0 || (!opened[to] && pages == MOVES_PAGES)) return;
@@ -552,7 +552,7 @@
 static void plan_machine(struct machine *m, struct page_plan *p) {
     int page = m->next_page >= 0 ? m->next_page : m->page;
     if (page < 0 || page >= RECORDS_PAGES || p->large[page]) return;
-    bool pass = passing_allowed(m);
+    bool pass = transfer_allowed(m);
     if (pass || m->need_raise) {
         int writes = pass + ((p->need[page] & PAGE_RAISE) == 0);
         if (p->raise_writes + writes <= cfg->txn_ops) {
@@ -580,17 +580,17 @@
     }
 }
 
-static void plan_newcomers(int k, struct page_plan *p) {
+static void plan_unregistered(int k, struct page_plan *p) {
     GHashTableIter it;
     gpointer v;
-    g_hash_table_iter_init(&it, records_newcomers());
+    g_hash_table_iter_init(&it, records_unregistered_all());
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        struct records_newcomer *c = v;
+        struct records_unregistered *c = v;
         if (c->share == k) c->page = -1;
     }
-    g_hash_table_iter_init(&it, records_newcomers());
+    g_hash_table_iter_init(&it, records_unregistered_all());
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        struct records_newcomer *c = v;
+        struct records_unregistered *c = v;
         if (c->share == k && (c->page = records_page_for(k, c->id)) >= 0) p->need[c->page] |= PAGE_NOW;
     }
 }
@@ -615,7 +615,7 @@
         if (!m->leave) continue;
         snprintf(key, sizeof key, "machine/%s", m->id);
         store_txn_if(t, key, 0);
-        store_txn_set(t, key, records_single_value(m, m->pass_to, p->fence), 0);
+        store_txn_set(t, key, records_single_value(m, m->transfer_to, p->fence), 0);
     }
 }
 
@@ -656,7 +656,7 @@
     records_large_pages(k, p.large);
     move_from_large(k, &p, tidy);
     plan_machines(k, &p);
-    plan_newcomers(k, &p);
+    plan_unregistered(k, &p);
     for (int page = 0; page < RECORDS_PAGES; page++)
         if (records_page_stale(k, page)) p.need[page] |= PAGE_LATER;
     if (p.raised) write_raises(r, k, &p);
@@ -724,7 +724,7 @@
                 g_ptr_array_add(late, j);
         }
     if (r->left > 0) plan_jobs(r, k);
-    passing_plan(k);
+    transfer_plan(k);
     if (r->left > 0) write_pages(r, k);
     for (guint i = 0; i < r->plans->len; i++) {
         struct job *j = g_array_index(r->plans, struct placement_plan, i).j;
@@ -856,7 +856,7 @@
     struct http_client *c = http_client_new();
     struct timespec watched = {0, 0}, told = {0, 0}, hearing = base_now();
     for (;;) {
-        base_bell_await(&bell, base_span(0.5));
+        base_wakeup_wait(&wakeup, base_span(0.5));
         bool again = false;
         for (int k = 0; k < cfg->size; k++) again |= run_round(c, k);
         if (base_since(watched) > 0.5) {
@@ -866,7 +866,8 @@
             watch_count_heard(&up, &heard, &reported);
             /* Cut from the store as well, what it holds ours is no longer known. */
             if (up < 4 || reported * 10 >= up * 3 || base_since(store_verified()) > 4) hearing = base_now();
-            if (base_since(hearing) > base_secs(cfg->report) && !membership_deaf()) membership_set_deaf(true);
+            if (base_since(hearing) > base_secs(cfg->report) && !membership_workers_lost())
+                membership_set_workers_lost(true);
             for (int k = 0; k < cfg->size; k++)
                 if (membership_mine(k) && membership_verified()) {
                     watch_machines(k, up, heard);
@@ -889,7 +890,7 @@
 
 void rounds_init(const struct settings *s) {
     cfg = s;
-    base_bell_init(&bell);
+    base_wakeup_init(&wakeup);
     refused_until = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
--- a/src/rounds/rounds_limits_test.c
+++ b/src/rounds/rounds_limits_test.c
@@ -195,8 +195,8 @@
         on[i]->unknown_fence = records_token(on[i]);
     }
     on[RETURNED]->want_return = true;
-    on[PASSED]->pass_to = 1;
-    on[PASSED]->pass_since = base_now();
+    on[PASSED]->transfer_to = 1;
+    on[PASSED]->transfer_since = base_now();
     settle("large pages");
     records_large_pages(0, large);
     for (int p = 0; p < RECORDS_PAGES; p++) {
--- a/src/rounds/rounds_test.c
+++ b/src/rounds/rounds_test.c
@@ -9,10 +9,10 @@
 #include "bookings/bookings.h"
 #include "cloud/cloud.h"
 #include "membership/membership.h"
-#include "passing/passing.h"
 #include "placement/placement.h"
 #include "preempt/preempt.h"
 #include "renting/renting.h"
+#include "transfer/transfer.h"
 #include "watch/watch.h"
 #include "workers/workers.h"
 
@@ -68,7 +68,7 @@
             }
             if (rounds_planned(round, uid) > (others - most) * 2 + n)
                 fail_msg("%s: %d of the array on the gang's machines", rows[r].what, rounds_planned(round, uid));
-            assert_true(gang->hungry);
+            assert_true(gang->unplaced);
         }
         rounds_round_free(round);
         owned_clear();
@@ -92,7 +92,7 @@
     store_unlock();
 }
 
-/* The budget: what does not go into a round waits for the next, and is known to be hungry already. */
+/* The budget: what does not go into a round waits for the next, and is known to be unplaced already. */
 static void budget(void **state) {
     (void)state;
     char uid[32];
@@ -110,7 +110,7 @@
         assert_true(rounds_largest(round) <= cfg.txn_ops);
         rounds_round_free(round);
     }
-    assert_true(jobs_find("req-50009")->hungry);
+    assert_true(jobs_find("req-50009")->unplaced);
     owned_clear();
     store_unlock();
 }
@@ -123,7 +123,7 @@
     records_shares[0].since = (struct timespec){0, 0};
     struct job *j = owned_job("req-60001", "batch", "normal", 300, 8, 1, false, false, 10);
     rounds_round_free(rounds_decide(0, 20));
-    assert_true(j->hungry);
+    assert_true(j->unplaced);
     int n = renting_plan(out, 16), machines = 0;
     for (int i = 0; i < n; i++) {
         assert_in_range(out[i].count, 1, 50);
@@ -138,7 +138,7 @@
         records_rented(0, id, "g16", "za", false);
     }
     assert_int_equal(renting_plan(out, 16), 0);
-    g_hash_table_remove_all(records_newcomers());
+    g_hash_table_remove_all(records_unregistered_all());
     owned_clear();
     store_unlock();
 }
@@ -270,9 +270,9 @@
     GHashTableIter it;
     gpointer v;
     bool used[256] = {false};
-    g_hash_table_iter_init(&it, records_newcomers());
+    g_hash_table_iter_init(&it, records_unregistered_all());
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        struct records_newcomer *n = v;
+        struct records_unregistered *n = v;
         n->page = records_page_for(0, n->id);
         assert_true(n->page >= 0);
         used[n->page] = true;
--- a/src/service/service.c
+++ b/src/service/service.c
@@ -11,13 +11,13 @@
 #include "../jobs/jobs.h"
 #include "../ledger/ledger.h"
 #include "../membership/membership.h"
-#include "../passing/passing.h"
 #include "../peers/peers.h"
 #include "../preempt/preempt.h"
 #include "../records/records.h"
 #include "../renting/renting.h"
 #include "../rounds/rounds.h"
 #include "../store/store.h"
+#include "../transfer/transfer.h"
 #include "../users/users.h"
 #include "../watch/watch.h"
 #include "../workers/workers.h"
@@ -57,7 +57,7 @@
     bookings_init(s);
     rounds_init(s);
     preempt_init(s);
-    passing_init(s);
+    transfer_init(s);
     renting_init(s);
     ledger_init(s);
     watch_init(s);
--- a/src/service/service_test.c
+++ b/src/service/service_test.c
@@ -8,10 +8,10 @@
 #include "../../tests/standin/state.h"
 #include "cloud/cloud.h"
 #include "membership/membership.h"
-#include "passing/passing.h"
 #include "peers/peers.h"
 #include "records/records.h"
 #include "rounds/rounds.h"
+#include "transfer/transfer.h"
 #include "workers/workers.h"
 
 static struct settings cfg;
@@ -203,7 +203,7 @@
     assert_int_equal(standin_workers_most(), 1);
 }
 
-/* What keeps a machine from passing to another share. */
+/* What keeps a machine from being transferred to another share. */
 static void may_pass(void **state) {
     (void)state;
     static const struct {
@@ -219,13 +219,13 @@
         struct machine m;
         memset(&m, 0, sizeof m);
         m.bookings = g_ptr_array_new();
-        m.pass_to = rows[i].to;
+        m.transfer_to = rows[i].to;
         m.touched = rows[i].touched;
         m.unknown = rows[i].unknown;
         m.sending = rows[i].sending;
         m.need_raise = rows[i].raise;
         m.want_return = rows[i].leaving;
-        assert_int_equal(passing_allowed(&m), rows[i].want);
+        assert_int_equal(transfer_allowed(&m), rows[i].want);
         g_ptr_array_free(m.bookings, TRUE);
     }
 }
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -142,9 +142,9 @@
     read_teams(&r, cJSON_GetObjectItemCaseSensitive(p, "teams"), s);
     /* Aims of kinds not known here are passed over: new ones may be added. */
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(p, "objectives")) {
-        static const char *const kinds[] = {"wait", "finished", "guarantee"};
+        static const char *const kinds[] = {"wait", "finished", "guarantee", "deadline"};
         const char *kind = base_str(x, "kind"), *cls = base_str(x, "class");
-        for (int i = 0; i < 3 && kind; i++)
+        for (int i = 0; i < (int)G_N_ELEMENTS(kinds) && kind; i++)
             if (strcmp(kind, kinds[i]) == 0 && s->n_objectives < SETTINGS_OBJECTIVES)
                 s->objectives[s->n_objectives++] =
                     (struct settings_objective){(enum settings_aim)i, g_strdup(cls ? cls : ""),
@@ -170,19 +170,19 @@
 }
 
 /* One row a setting: its name, bounds, and where it goes. */
-struct knob {
+struct tuning_field {
     const char *name;
     double least, most;
     size_t offset;
     bool span;
 };
-#define KNOB(f, lo, hi, sp) \
+#define FIELD(f, lo, hi, sp) \
     { #f, lo, hi, offsetof(struct settings_tuning, f), sp }
-static const struct knob knobs[] = {
-    KNOB(reception, 0, 1, false),      KNOB(admission, 0.05, 1.01, false), KNOB(margin, 0.5, 20, false),
-    KNOB(window, 1, 60, false),        KNOB(drain_reopen, 5, 3600, true),  KNOB(silent_return, 2, 3600, true),
-    KNOB(node_lease, 1, 60, true),     KNOB(watch_gap, 0, 5, true),        KNOB(machines_per_share, 1, 10000, false),
-    KNOB(dear_backlog, 0, 100, false),
+static const struct tuning_field tuning_fields[] = {
+    FIELD(reception, 0, 1, false),      FIELD(admission, 0.05, 1.01, false), FIELD(margin, 0.5, 20, false),
+    FIELD(window, 1, 60, false),        FIELD(drain_reopen, 5, 3600, true),  FIELD(silent_return, 2, 3600, true),
+    FIELD(node_lease, 1, 60, true),     FIELD(watch_gap, 0, 5, true),        FIELD(machines_per_share, 1, 10000, false),
+    FIELD(dear_backlog, 0, 100, false),
 };
 
 /* HCL's `name = value` lines, read by libconfig: no HCL reader is packaged for C, and this is its nearest kin. */
@@ -202,9 +202,9 @@
     config_setting_t *top = config_root_setting(&c);
     for (int n = 0; n < config_setting_length(top) && r.ok; n++) {
         config_setting_t *o = config_setting_get_elem(top, (unsigned)n);
-        const struct knob *k = NULL;
-        for (size_t i = 0; i < G_N_ELEMENTS(knobs); i++)
-            if (strcmp(knobs[i].name, config_setting_name(o)) == 0) k = &knobs[i];
+        const struct tuning_field *k = NULL;
+        for (size_t i = 0; i < G_N_ELEMENTS(tuning_fields); i++)
+            if (strcmp(tuning_fields[i].name, config_setting_name(o)) == 0) k = &tuning_fields[i];
         bool number = config_setting_is_number(o);
         double v = number ? config_setting_get_float(o) : 0;
         if (!k)
@@ -261,6 +261,12 @@
     return best < 0 ? otherwise : best;
 }
 
+bool settings_has_aim(const struct settings *s, enum settings_aim kind, const char *jobclass) {
+    for (int i = 0; i < s->n_objectives; i++)
+        if (s->objectives[i].kind == kind && strcmp(s->objectives[i].jobclass, jobclass) == 0) return true;
+    return false;
+}
+
 void settings_clear(struct settings *s) {
     char **own[] = {&s->node, &s->area, &s->bind, &s->cluster_listen, &s->cloud, &s->state};
     for (size_t i = 0; i < G_N_ELEMENTS(own); i++) g_free(*own[i]);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -17,7 +17,7 @@
     char *node, *area, *address;
 };
 
-enum settings_aim { AIM_WAIT, AIM_FINISHED, AIM_GUARANTEE };
+enum settings_aim { AIM_WAIT, AIM_FINISHED, AIM_GUARANTEE, AIM_DEADLINE };
 struct settings_objective {
     enum settings_aim kind;
     char *jobclass; /* empty: all */
@@ -65,6 +65,7 @@
 void settings_clear(struct settings *s);
 /* The shortest time that an aim of this kind names for the class; otherwise, where none does. */
 double settings_within(const struct settings *s, enum settings_aim kind, const char *jobclass, double otherwise);
+bool settings_has_aim(const struct settings *s, enum settings_aim kind, const char *jobclass);
 int settings_zone(const struct settings *s, const char *name); /* -1: unknown */
 int settings_team(const struct settings *s, const char *name);
 #endif
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -256,7 +256,7 @@
 static int64_t mirror_epoch;
 static bool mirror_ready;
 static struct timespec mirror_verified;
-static struct base_bell nudge;
+static struct base_wakeup nudge;
 
 void store_lock(void) { pthread_mutex_lock(&mirror_lock); }
 void store_unlock(void) { pthread_mutex_unlock(&mirror_lock); }
@@ -382,7 +382,7 @@
     return ok;
 }
 
-void store_nudge(void) { base_bell_ring(&nudge); }
+void store_nudge(void) { base_wakeup_signal(&nudge); }
 
 static int hold_most(void) {
     /* An idle watch must come back well within the time for which a look at the store stays good. */
@@ -437,12 +437,12 @@
         }
         cJSON_Delete(ans);
         /* A short gap gathers changes into one answer; someone who waits for one cuts it short. */
-        base_bell_await(&nudge, cfg->tuning.watch_gap);
+        base_wakeup_wait(&nudge, cfg->tuning.watch_gap);
     }
     return NULL;
 }
 
 void store_mirror_start(void) {
-    base_bell_init(&nudge);
+    base_wakeup_init(&nudge);
     base_thread(mirror_main, NULL);
 }
--- a/src/passing/passing.c
+++ b/src/transfer/transfer.c
@@ -1,4 +1,4 @@
-#include "passing.h"
+#include "transfer.h"
 
 #include "../bookings/bookings.h"
 #include "../cloud/cloud.h"
@@ -11,7 +11,7 @@
 static const struct settings *cfg;
 
 /* An ordinary machine whose tasks would all make way. */
-bool passing_passable(const struct machine *m) {
+bool transfer_possible(const struct machine *m) {
     if (m->spot || records_leaving(m) || m->warning >= 0 || !m->address[0]) return false;
     for (guint b = 0; b < m->bookings->len; b++) {
         const struct job_spec *s = &((struct booking *)m->bookings->pdata[b])->job->spec;
@@ -22,8 +22,8 @@
 
 /* Not in a round that books on it or releases from it: the plan is not in its list yet. A machine was once passed
  * together with a task of its old share's, which then counted nowhere against the team's limit. */
-bool passing_allowed(const struct machine *m) {
-    return m->pass_to >= 0 && m->bookings->len == 0 && m->page >= 0 && !m->touched && !m->unknown && !m->sending &&
+bool transfer_allowed(const struct machine *m) {
+    return m->transfer_to >= 0 && m->bookings->len == 0 && m->page >= 0 && !m->touched && !m->unknown && !m->sending &&
            !m->need_raise && !m->want_return && !m->returning && !m->dead;
 }
 
@@ -54,7 +54,7 @@
     GArray *vms = g_array_new(FALSE, FALSE, sizeof(struct renting_vm));
     for (guint i = 0; i < records_machines()->len; i++) {
         struct machine *m = records_machines()->pdata[i];
-        if ((m->share != s && m->pass_to != s) || m->returning || (m->spot && !reclaimable) ||
+        if ((m->share != s && m->transfer_to != s) || m->returning || (m->spot && !reclaimable) ||
             (m->share == s && full(m)))
             continue;
         guint before = vms->len;
@@ -107,11 +107,11 @@
     GPtrArray *jobs = jobs_active_of(k);
     for (guint i = 0; i < jobs->len; i++) {
         struct job *o = jobs->pdata[i];
-        if (o->hungry && o->rank >= j->rank) return NULL;
+        if (o->unplaced && o->rank >= j->rank) return NULL;
     }
     for (guint i = 0; i < records_of(k)->len; i++) {
         struct machine *m = records_of(k)->pdata[i];
-        if (m == reception || m->touched || base_since(m->mine_since) < 5 || m->pass_to >= 0 || !m->up ||
+        if (m == reception || m->touched || base_since(m->mine_since) < 5 || m->transfer_to >= 0 || !m->up ||
             !records_mine(m) || !m->flavour)
             continue;
         if (records_leaving(m) || m->warning >= 0 || !m->address[0]) continue;
@@ -133,10 +133,10 @@
     return best;
 }
 
-void passing_plan(int k) {
+void transfer_plan(int k) {
     for (guint i = 0; i < records_of(k)->len; i++) {
         struct machine *m = records_of(k)->pdata[i];
-        if (m->pass_to >= 0 && base_since(m->pass_since) > 12) m->pass_to = -1;
+        if (m->transfer_to >= 0 && base_since(m->transfer_since) > 12) m->transfer_to = -1;
     }
     /* A look at every other share's needs is the dearest part of a round, and nothing passes faster than this. */
     if (base_since(records_shares[k].passed) < records_machines()->len * 0.0008) return;
@@ -151,9 +151,9 @@
             if (j) m = donation(k, j, within);
         }
         if (!m) continue;
-        m->pass_to = s;
-        m->pass_since = base_now();
-        log_info("machine %s: passing it from share %d to share %d for %s", m->id, k, s, j->spec.uid);
+        m->transfer_to = s;
+        m->transfer_since = base_now();
+        log_info("machine %s: transfer from share %d to share %d for %s", m->id, k, s, j->spec.uid);
         for (guint b = 0; b < m->bookings->len; b++) {
             struct booking *x = m->bookings->pdata[b];
             bookings_stop(x, x->job->spec.checkpoint_s > 0 ? x->job->spec.flush_s + 1 : 0);
@@ -161,4 +161,4 @@
     }
 }
 
-void passing_init(const struct settings *s) { cfg = s; }
+void transfer_init(const struct settings *s) { cfg = s; }
--- a/src/users/users.c
+++ b/src/users/users.c
@@ -14,9 +14,9 @@
 
 static const struct settings *cfg;
 
-enum ask_kind { ASK_SUBMIT, ASK_POLL, ASK_CANCEL };
-struct ask {
-    enum ask_kind kind;
+enum request_kind { REQUEST_SUBMIT, REQUEST_POLL, REQUEST_CANCEL };
+struct user_request {
+    enum request_kind kind;
     struct http_req *req;
     char uid[64];
     char *spec_text;
@@ -28,13 +28,13 @@
 };
 
 /* Two queues with a thread each, so that a burst of submissions does not hold up polls. */
-struct lane {
+struct request_queue {
     pthread_mutex_t lock;
     pthread_cond_t cond;
     GQueue *q;
 };
-static struct lane lanes[2];
-#define ASKS_MOST 400
+static struct request_queue queues[2];
+#define REQUESTS_MOST 400
 #define POLL_S 2.0 /* users wait no longer for the answer to a poll */
 
 static pthread_mutex_t latency_lock = PTHREAD_MUTEX_INITIALIZER;
@@ -66,7 +66,7 @@
     pthread_mutex_unlock(&latency_lock);
 }
 
-static void ask_free(struct ask *a) {
+static void request_free(struct user_request *a) {
     note_latency(a->came);
     free(a->spec_text);
     g_strfreev(a->prerequisites);
@@ -88,7 +88,7 @@
 
 /* Answers from the record, which the caller has just seen confirmed. Of a job that is to be cancelled with one that it
  * needs nothing is told until that is written. */
-static void answer_known(struct ask *a, const struct job *j) {
+static void answer_known(struct user_request *a, const struct job *j) {
     int running;
     if (chains_to_cancel(j)) {
         refuse(a->req, 503, "a job that it needs is cancelled", 1);
@@ -98,10 +98,10 @@
     reply_job(a->req, 200, a->uid, s, j->n_done, running);
 }
 
-static void push(int lane, struct ask *a) {
-    struct lane *l = &lanes[lane];
+static void push(int lane, struct user_request *a) {
+    struct request_queue *l = &queues[lane];
     pthread_mutex_lock(&l->lock);
-    bool full = l->q->length >= ASKS_MOST;
+    bool full = l->q->length >= REQUESTS_MOST;
     if (!full) {
         http_hold(a->req);
         g_queue_push_tail(l->q, a);
@@ -110,7 +110,7 @@
     pthread_mutex_unlock(&l->lock);
     if (full) {
         refuse(a->req, 429, "too many requests wait here", 2);
-        ask_free(a);
+        request_free(a);
     }
 }
 
@@ -152,8 +152,8 @@
     }
     /* An accepted job is known whatever its repetition looks like: a refusal waits until the store has shown that the
      * id is nobody's. */
-    struct ask *a = g_new0(struct ask, 1);
-    a->kind = ASK_SUBMIT;
+    struct user_request *a = g_new0(struct user_request, 1);
+    a->kind = REQUEST_SUBMIT;
     a->req = r;
     a->came = base_now();
     a->refusal = refusal;
@@ -170,10 +170,10 @@
     spec.prerequisites = NULL;
     jobs_spec_clear(&spec);
     if (terminal) {
-        ask_free(a);
+        request_free(a);
     } else if (!ready) {
         refuse(r, 503, away ? "the state service is out of reach" : "machine types are not known yet", away ? 2 : 1);
-        ask_free(a);
+        request_free(a);
     } else {
         a->spec_text = cJSON_PrintUnformatted(o);
         if (!a->refusal) a->refusal = check_size(o, a->spec_text, why, sizeof why);
@@ -209,8 +209,8 @@
         refuse(r, 404, "no such job", 0);
         return true;
     }
-    struct ask *a = g_new0(struct ask, 1);
-    a->kind = cancel ? ASK_CANCEL : ASK_POLL;
+    struct user_request *a = g_new0(struct user_request, 1);
+    a->kind = cancel ? REQUEST_CANCEL : REQUEST_POLL;
     a->req = r;
     a->came = base_now();
     g_strlcpy(a->uid, uid, sizeof a->uid);
@@ -221,18 +221,18 @@
     if (terminal) answer_known(a, j);
     store_unlock();
     if (terminal) {
-        ask_free(a);
+        request_free(a);
     } else if (!ready) {
         /* At once: asking a store that is out of reach would only use up the time that the user waits. */
         refuse(r, 503, "the state service is out of reach", 2);
-        ask_free(a);
+        request_free(a);
     } else {
         push(to_write ? 0 : 1, a);
     }
     return true;
 }
 
-static void gather(struct lane *l, GPtrArray *batch, guint most) {
+static void gather(struct request_queue *l, GPtrArray *batch, guint most) {
     pthread_mutex_lock(&l->lock);
     while (l->q->length == 0) base_cond_wait(&l->cond, &l->lock, base_span(10));
     while (batch->len < most && l->q->length) g_ptr_array_add(batch, g_queue_pop_head(l->q));
@@ -246,14 +246,14 @@
     GPtrArray *batch = g_ptr_array_new();
     for (;;) {
         g_ptr_array_set_size(batch, 0);
-        gather(&lanes[1], batch, (guint)cfg->txn_ops * 4);
+        gather(&queues[1], batch, (guint)cfg->txn_ops * 4);
         struct store_txn t;
         struct store_answer ans;
         char key[96];
         store_txn_init(&t);
         store_lock();
         for (guint i = 0; i < batch->len; i++) {
-            struct ask *a = batch->pdata[i];
+            struct user_request *a = batch->pdata[i];
             snprintf(key, sizeof key, "job/%s", a->uid);
             store_txn_if(&t, key, store_stamp(key));
         }
@@ -262,7 +262,7 @@
         if (rc == STORE_CONFLICT)
             for (guint i = 0; i < ans.failed->len; i++) store_refresh(c, ans.failed->pdata[i]);
         for (guint i = 0; i < batch->len; i++) {
-            struct ask *a = batch->pdata[i];
+            struct user_request *a = batch->pdata[i];
             if (rc != STORE_OK && rc != STORE_CONFLICT) {
                 refuse(a->req, 503, "the state service is out of reach", 2);
             } else if (base_since(a->came) > POLL_S) {
@@ -291,7 +291,7 @@
                     refuse(a->req, 404, "no such job", 0);
                 store_unlock();
             }
-            ask_free(a);
+            request_free(a);
         }
         store_answer_clear(&ans);
         store_txn_free(&t);
@@ -303,18 +303,18 @@
 static void accept_fill(GPtrArray *batch, struct store_txn *t) {
     char key[96];
     for (guint i = 0; i < batch->len; i++) {
-        struct ask *a = batch->pdata[i];
+        struct user_request *a = batch->pdata[i];
         snprintf(key, sizeof key, "job/%s", a->uid);
         struct job *j = jobs_find(a->uid);
         bool twice = false;
-        for (guint k = 0; k < i; k++) twice |= strcmp(((struct ask *)batch->pdata[k])->uid, a->uid) == 0;
+        for (guint k = 0; k < i; k++) twice |= strcmp(((struct user_request *)batch->pdata[k])->uid, a->uid) == 0;
         store_txn_if(t, key, store_stamp(key));
         a->was_known = j && j->known;
         if (twice) continue;
-        if (a->kind == ASK_SUBMIT && !(j && j->known) && !a->refusal) {
+        if (a->kind == REQUEST_SUBMIT && !(j && j->known) && !a->refusal) {
             enum job_state state = chains_cancelled_among(a->prerequisites) ? JOB_CANCELLED : JOB_QUEUED;
             store_txn_set(t, key, jobs_value(a->spec_text, state, base_time_of_day()), 0);
-        } else if (j && j->known && j->state == JOB_QUEUED && (a->kind == ASK_CANCEL || chains_to_cancel(j))) {
+        } else if (j && j->known && j->state == JOB_QUEUED && (a->kind == REQUEST_CANCEL || chains_to_cancel(j))) {
             store_txn_set(t, key, jobs_final_value(j, JOB_CANCELLED), 0);
         }
     }
@@ -322,7 +322,7 @@
 
 static void accept_answer(GPtrArray *batch, enum store_result rc, struct store_txn *t) {
     for (guint i = 0; i < batch->len; i++) {
-        struct ask *a = batch->pdata[i];
+        struct user_request *a = batch->pdata[i];
         char key[96];
         snprintf(key, sizeof key, "job/%s", a->uid);
         if (rc != STORE_OK) {
@@ -333,7 +333,7 @@
                 refuse(a->req, 429, "over the write budget", 1);
             else
                 refuse(a->req, 503, "the state service did not answer", 2);
-            ask_free(a);
+            request_free(a);
             continue;
         }
         bool wrote = false;
@@ -342,14 +342,14 @@
         cJSON_ArrayForEach(x, t->ops) wrote |= strcmp(base_str(x, "set"), key) == 0;
         store_lock();
         struct job *j = jobs_find(a->uid);
-        if (a->kind == ASK_SUBMIT) {
+        if (a->kind == REQUEST_SUBMIT) {
             if (j && j->known && (!wrote || a->was_known))
                 answer_known(a, j);
             else if (j && j->known)
                 reply_job(a->req, 201, a->uid, jobs_state_name(j, &running), 0, 0);
             else
                 refuse(a->req, a->refusal, a->why, a->refusal == 503 ? 2 : 0);
-        } else if (a->kind == ASK_POLL) {
+        } else if (a->kind == REQUEST_POLL) {
             answer_known(a, j);
         } else if (j && j->known) {
             if (j->state == JOB_QUEUED) {
@@ -363,14 +363,14 @@
             refuse(a->req, 404, "no such job", 0);
         }
         store_unlock();
-        ask_free(a);
+        request_free(a);
     }
 }
 
 /* Asks the store about names that are not known here, before anything is decided. */
 static void check_prerequisites(struct http_client *c, GPtrArray *batch) {
     for (guint i = 0; i < batch->len; i++) {
-        struct ask *a = batch->pdata[i];
+        struct user_request *a = batch->pdata[i];
         if (a->refusal || !a->prerequisites) continue;
         store_lock();
         const struct job *j = jobs_find(a->uid);
@@ -386,12 +386,13 @@
     GPtrArray *batch = g_ptr_array_new();
     for (;;) {
         g_ptr_array_set_size(batch, 0);
-        gather(&lanes[0], batch, (guint)cfg->txn_ops);
+        gather(&queues[0], batch, (guint)cfg->txn_ops);
         enum store_result rc = STORE_REFUSED;
         struct store_txn t;
         store_txn_init(&t);
         bool cancels = false;
-        for (guint i = 0; i < batch->len; i++) cancels |= ((struct ask *)batch->pdata[i])->kind == ASK_CANCEL;
+        for (guint i = 0; i < batch->len; i++)
+            cancels |= ((struct user_request *)batch->pdata[i])->kind == REQUEST_CANCEL;
         check_prerequisites(c, batch);
         struct timespec began = base_now();
         for (int attempt = 0; attempt < 4; attempt++) {
@@ -441,9 +442,9 @@
     latency = gsl_histogram_alloc(60);
     gsl_histogram_set_ranges_uniform(latency, -1, 5);
     for (int i = 0; i < 2; i++) {
-        pthread_mutex_init(&lanes[i].lock, NULL);
-        base_cond_init(&lanes[i].cond);
-        lanes[i].q = g_queue_new();
+        pthread_mutex_init(&queues[i].lock, NULL);
+        base_cond_init(&queues[i].cond);
+        queues[i].q = g_queue_new();
     }
     base_thread(accept_main, NULL);
     base_thread(poll_main, NULL);
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -17,9 +17,9 @@
 #define ANSWER_MS 1500 /* how long a worker may take to answer */
 
 static const struct settings *cfg;
-static struct base_bell bell;
+static struct base_wakeup wakeup;
 
-void workers_kick(void) { base_bell_ring(&bell); }
+void workers_kick(void) { base_wakeup_signal(&wakeup); }
 
 /* A letter that may carry starts is on its way. One that only asks does not count: a machine whose last start is in
  * doubt is asked all the same, else those that hang with a start in doubt were found 5 s later than the others. */
@@ -74,17 +74,17 @@
  * again and again, each for the first time, and a cancelled task ran on beyond cancel_s. */
 static void list_cancelled(struct machine *m, const cJSON *report) {
     const cJSON *x;
-    g_array_set_size(m->strays, 0);
+    g_array_set_size(m->unknown_tasks, 0);
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(report, "tasks")) {
         const char *task = base_str(x, "task"), *slash = task ? strrchr(task, '/') : NULL;
-        struct stray st = {"", 0, false};
+        struct unknown_task st = {"", 0, false};
         char uid[64];
         if (!slash || (size_t)(slash - task) >= sizeof uid || !base_int(x, "try", &st.attempt)) continue;
         g_strlcpy(uid, task, (gsize)(slash - task) + 1);
         const struct job *j = jobs_find(uid);
         if (!j || j->state != JOB_CANCELLED || state_of(base_str(x, "state")) == TASK_ENDED) continue;
         g_strlcpy(st.task, task, sizeof st.task);
-        g_array_append_val(m->strays, st);
+        g_array_append_val(m->unknown_tasks, st);
     }
 }
 
@@ -161,7 +161,7 @@
         m->need_raise = false;
     }
     bool change = false;
-    g_array_set_size(m->strays, 0);
+    g_array_set_size(m->unknown_tasks, 0);
     bool listed[256] = {false};
     const cJSON *x;
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(report, "tasks")) {
@@ -171,9 +171,9 @@
         struct booking *b = listed_booking(m, task, attempt);
         enum task_state s = state_of(state);
         if (!b) {
-            struct stray st = {"", attempt, s == TASK_ENDED};
+            struct unknown_task st = {"", attempt, s == TASK_ENDED};
             g_strlcpy(st.task, task, sizeof st.task);
-            g_array_append_val(m->strays, st);
+            g_array_append_val(m->unknown_tasks, st);
             continue;
         }
         guint at = 0;
@@ -235,8 +235,8 @@
     cJSON *list = cJSON_CreateArray();
     bool ours = m->seen_fence >= records_token(m); /* first the token, then orders, but for stops that can't wait */
     bool may_start = membership_may_start();
-    for (guint i = 0; i < m->strays->len && i < 200; i++) {
-        struct stray *s = &g_array_index(m->strays, struct stray, i);
+    for (guint i = 0; i < m->unknown_tasks->len && i < 200; i++) {
+        struct unknown_task *s = &g_array_index(m->unknown_tasks, struct unknown_task, i);
         /* As long as the worker lists an attempt, a start of it that still comes does nothing. */
         if (s->ended && (!ours || m->unknown || start_on_its_way(m))) continue;
         if (s->ended)
@@ -266,7 +266,7 @@
 
 /* ---- reports ---- */
 
-static void ask_stranger(const char *id, const char *address);
+static void ask_unregistered(const char *id, const char *address);
 
 static void go_elsewhere(struct http_req *r, const char *master) {
     char body[128];
@@ -281,7 +281,7 @@
  * token that the machine has, so that its lease goes on, and orders nothing but the end of cancelled tasks. Nobody else
  * relies on the lease's end: a start elsewhere needs a report's or the cloud's proof. Bound like an owner's answers to
  * the last look at the store, and over as soon as store or owner is in reach. */
-bool workers_stand_in(const struct machine *m) {
+bool workers_may_proxy(const struct machine *m) {
     const char *owner = m->share < 0 ? "" : membership_share(m->share)->owner;
     return store_away() && membership_verified() && strcmp(m->site, cfg->area) == 0 && strcmp(owner, cfg->node) != 0 &&
            !peers_reach(owner);
@@ -307,11 +307,11 @@
     return false;
 }
 
-cJSON *workers_stand_in_answer(struct machine *m, const cJSON *report) {
+cJSON *workers_proxy_answer(struct machine *m, const cJSON *report) {
     cJSON *a = cJSON_CreateObject(), *orders = cJSON_CreateArray();
     list_cancelled(m, report);
-    for (guint i = 0; i < m->strays->len; i++) {
-        const struct stray *s = &g_array_index(m->strays, struct stray, i);
+    for (guint i = 0; i < m->unknown_tasks->len; i++) {
+        const struct unknown_task *s = &g_array_index(m->unknown_tasks, struct unknown_task, i);
         add_order(orders, "stop", s->task, s->attempt, 0);
     }
     cJSON_AddNumberToObject(a, "fence", (double)records_token(m));
@@ -338,7 +338,7 @@
         int k = records_share_of(id);
         const struct share *s = membership_share(k);
         if (membership_mine(k)) {
-            if (!records_known(id) && address && *address) ask_stranger(id, address);
+            if (!records_known(id) && address && *address) ask_unregistered(id, address);
             http_reply(r, 503, NULL, 1);
         } else {
             go_elsewhere(r, s->owner);
@@ -347,8 +347,8 @@
         const struct share *s = membership_share(m->share);
         int64_t fence = 0;
         base_int(o, "fence", &fence);
-        if (fence <= records_token(m) && workers_stand_in(m) && !workers_start_in_doubt(m, o))
-            http_reply_json(r, 200, workers_stand_in_answer(m, o), 0);
+        if (fence <= records_token(m) && workers_may_proxy(m) && !workers_start_in_doubt(m, o))
+            http_reply_json(r, 200, workers_proxy_answer(m, o), 0);
         else if (strcmp(s->owner, cfg->node) == 0)
             http_reply(r, 503, NULL, 1);
         else
@@ -388,7 +388,7 @@
 
 bool workers_route(struct http_req *r) {
     if (strcmp(http_path(r), "/checkin") != 0) return false;
-    http_passing(r);
+    http_short_lived(r);
     if (strcmp(http_method(r), "POST") != 0)
         http_reply(r, 405, NULL, 0);
     else
@@ -407,7 +407,7 @@
 static struct job_queue
     probes; /* tokens and questions: machines that don't answer must not hold up the others' orders */
 
-struct letter {
+struct direct_command {
     char id[64], address[64];
     char *body;
     cJSON *ends; /* stops of cancelled tasks on another's machine; then there is no body */
@@ -422,7 +422,7 @@
     return !has_run || (age_s < ORDER_S && ours && may_start);
 }
 
-static bool still_good(const struct letter *l) {
+static bool still_good(const struct direct_command *l) {
     if (!l->has_run) return true; /* most letters only ask: no lock for them */
     store_lock();
     struct machine *m = records_find(l->id);
@@ -432,7 +432,7 @@
     return good;
 }
 
-static void post(struct job_queue *q, struct letter *l) {
+static void post(struct job_queue *q, struct direct_command *l) {
     pthread_mutex_lock(&q->lock);
     g_queue_push_tail(q->q, l);
     pthread_cond_signal(&q->cond);
@@ -441,7 +441,7 @@
 
 /* An unknown machine's report may be a late copy from one that was returned long ago: only one that answers is adopted.
  * Nor at once: who rented it may be about to record it. */
-static void ask_stranger(const char *id, const char *address) {
+static void ask_unregistered(const char *id, const char *address) {
     struct first_and_last {
         struct timespec first, last;
     };
@@ -455,17 +455,17 @@
     }
     if (base_since(when->first) < ADOPT_S || (when->last.tv_sec && base_since(when->last) < 2)) return;
     when->last = base_now();
-    struct letter *l = g_new0(struct letter, 1);
+    struct direct_command *l = g_new0(struct direct_command, 1);
     g_strlcpy(l->id, id, sizeof l->id);
     g_strlcpy(l->address, address, sizeof l->address);
     post(&probes, l);
 }
 
-static void stranger_answer(const struct letter *l, const cJSON *a) {
+static void adopt_answer(const struct direct_command *l, const cJSON *a) {
     const char *id = base_str(a, "host"), *sku = base_str(a, "flavour"), *site = base_str(a, "site");
     if (!id || strcmp(id, l->id) != 0 || !sku || !site) return;
     store_lock();
-    records_stranger(l->id, l->address, sku, site, base_flag(a, "reclaimable"));
+    records_adopt(l->id, l->address, sku, site, base_flag(a, "reclaimable"));
     store_unlock();
 }
 
@@ -490,7 +490,7 @@
     }
     if (!orders) return;
     m->asked_to_end = base_now();
-    struct letter *l = g_new0(struct letter, 1);
+    struct direct_command *l = g_new0(struct direct_command, 1);
     g_strlcpy(l->id, m->id, sizeof l->id);
     g_strlcpy(l->address, m->address, sizeof l->address);
     l->fence = records_token(m);
@@ -500,7 +500,7 @@
 }
 
 /* Sends stops to another's machine, a second time if it is in another session than we know. */
-static void send_ends(struct http_client *c, const struct letter *l) {
+static void send_ends(struct http_client *c, const struct direct_command *l) {
     char url[160];
     int64_t tenure = l->tenure;
     snprintf(url, sizeof url, "http://%s/commands", l->address);
@@ -531,7 +531,7 @@
     for (;;) {
         pthread_mutex_lock(&q->lock);
         while (q->q->length == 0) base_cond_wait(&q->cond, &q->lock, base_span(30));
-        struct letter *l = g_queue_pop_head(q->q);
+        struct direct_command *l = g_queue_pop_head(q->q);
         pthread_mutex_unlock(&q->lock);
         char url[160];
         long status;
@@ -545,7 +545,7 @@
         if (!l->body) {
             snprintf(url, sizeof url, "http://%s/inspect", l->address);
             if (http_call(c, "GET", url, NULL, ANSWER_MS, &status, &a) == HTTP_ANSWERED && status == 200)
-                stranger_answer(l, a);
+                adopt_answer(l, a);
             cJSON_Delete(a);
             g_free(l);
             continue;
@@ -587,7 +587,7 @@
     return NULL;
 }
 
-static void post_letters(void) {
+static void send_due_commands(void) {
     store_lock();
     GPtrArray *ms = records_machines();
     bool may_start = membership_may_start();
@@ -609,7 +609,7 @@
             cJSON_Delete(orders);
             continue;
         }
-        struct letter *l = g_new0(struct letter, 1);
+        struct direct_command *l = g_new0(struct direct_command, 1);
         const cJSON *x;
         cJSON_ArrayForEach(x, orders) l->has_run |= strcmp(base_str(x, "verb"), "run") == 0;
         g_strlcpy(l->id, m->id, sizeof l->id);
@@ -639,8 +639,8 @@
 static void *post_main(void *arg) {
     (void)arg;
     for (;;) {
-        base_bell_await(&bell, base_span(1));
-        post_letters();
+        base_wakeup_wait(&wakeup, base_span(1));
+        send_due_commands();
         base_sleep(base_span(0.02));
     }
     return NULL;
@@ -648,7 +648,7 @@
 
 void workers_init(const struct settings *s) {
     cfg = s;
-    base_bell_init(&bell);
+    base_wakeup_init(&wakeup);
     struct job_queue *const queues[] = {&outbox, &probes};
     for (int i = 0; i < 2; i++) {
         pthread_mutex_init(&queues[i]->lock, NULL);
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -7,9 +7,9 @@
 void workers_start(void);
 void workers_kick(void);
 bool workers_route(struct http_req *r);
-bool workers_stand_in(const struct machine *m); /* with store_lock held: answer for an owner that the zone lost */
+bool workers_may_proxy(const struct machine *m); /* with store_lock held: answer for an owner that the zone lost */
 bool workers_start_in_doubt(const struct machine *m, const cJSON *report);
-cJSON *workers_stand_in_answer(struct machine *m, const cJSON *report);
+cJSON *workers_proxy_answer(struct machine *m, const cJSON *report);
 
 /* Pure: whether orders decided so long ago may still be sent. */
 bool workers_still_good(bool has_run, double age_s, bool ours, bool may_start);
--- a/src/workers/workers_test.c
+++ b/src/workers/workers_test.c
@@ -325,7 +325,7 @@
     put("job/req-10005", SPEC("req-10005", "batch", "2"), ++stamp);
     put("job/req-10005", text, ++stamp);
     g_free(text);
-    assert_false(workers_stand_in(here)); /* the store is in reach */
+    assert_false(workers_may_proxy(here)); /* the store is in reach */
     store_unlock();
     standin_state_trouble(STANDIN_OUTAGE);
     struct timespec start = base_now();
@@ -337,12 +337,12 @@
         store_unlock();
     }
     store_lock();
-    assert_true(workers_stand_in(here));
-    assert_false(workers_stand_in(there));
+    assert_true(workers_may_proxy(here));
+    assert_false(workers_may_proxy(there));
     cJSON *o = cJSON_Parse(
         "{\"tasks\":[{\"task\":\"req-10005/0\",\"try\":4,\"state\":\"running\"},"
         "{\"task\":\"req-10001/0\",\"try\":4,\"state\":\"running\"}]}");
-    cJSON *a = workers_stand_in_answer(here, o), *orders = cJSON_GetObjectItemCaseSensitive(a, "orders");
+    cJSON *a = workers_proxy_answer(here, o), *orders = cJSON_GetObjectItemCaseSensitive(a, "orders");
     assert_int_equal(base_num(a, "fence", 0), 70);
     assert_int_equal(cJSON_GetArraySize(orders), 1); /* the cancelled one ends, nothing else is ordered */
     assert_string_equal(base_str(cJSON_GetArrayItem(orders, 0), "verb"), "stop");
@@ -352,7 +352,7 @@
     struct settings short_of = cfg;
     short_of.cancel = base_span(base_secs(cfg.lease) + 1);
     membership_init(&short_of); /* a look as old as this is no longer good */
-    assert_false(workers_stand_in(here));
+    assert_false(workers_may_proxy(here));
     store_unlock();
     standin_state_trouble(STANDIN_NONE);
 }
--- a/tests/standin/owned.c
+++ b/tests/standin/owned.c
@@ -34,7 +34,7 @@
 /* A steady machine of ours with a free room of 16 CPUs, 2 GPUs, 64 GB, on page 0 and up. */
 struct machine *owned_machine(const char *id, const char *zone, bool spot) {
     records_rented(0, id, "g16", zone, spot);
-    struct records_newcomer *n = g_hash_table_lookup(records_newcomers(), id);
+    struct records_unregistered *n = g_hash_table_lookup(records_unregistered_all(), id);
     int page = n->page = records_page_for(0, id), count;
     cJSON *v = records_page_value(0, page, &count);
     char key[32];
