--- a/src/service/service_chains_test.c
+++ b/src/service/service_chains_test.c
@@ -29,15 +29,16 @@
     return standin_workers_holding(task) > 0;
 }
 
-/* Waits until the second job is done; fails if it was begun before the first one's record said done. */
+/* Waits until the second job is done; fails if it was ever begun before the first one's record said done. */
 static void follows(const char *first, const char *second) {
     struct timespec start = base_now();
-    while (!record_says(second, "done") && base_since(start) < STAGE_S) {
-        bool begun = held(second); /* in this order: the record is never taken back */
-        if (begun && !record_says(first, "done")) fail_msg("%s began before %s was done", second, first);
-        base_sleep(base_span(0.005));
-    }
+    char task[64];
+    while (!record_says(second, "done") && base_since(start) < STAGE_S) base_sleep(base_span(0.02));
     if (!record_says(second, "done")) fail_msg("%s did not follow %s", second, first);
+    g_snprintf(task, sizeof task, "%s/0", second);
+    struct timespec began = standin_workers_began(task), done = standin_state_done_at(first);
+    assert_true(began.tv_sec > 0 && done.tv_sec > 0);
+    if (base_secs(began) < base_secs(done)) fail_msg("%s began before %s was done", second, first);
 }
 
 static void submit_after(const char *uid, const char *team, const char *prereqs) {
@@ -91,7 +92,11 @@
             assert_int_equal(status / 100, 2);
         }
     }
-    follows("req-11019", "req-12019");
+    for (int i = 0; i < 20; i++) {
+        g_snprintf(first, sizeof first, "req-110%02d", i);
+        g_snprintf(second, sizeof second, "req-120%02d", i);
+        follows(first, second);
+    }
 }
 
 /* The end of a job's last task meets its cancellation, a submission that names it, and polls at both controllers. */
@@ -112,7 +117,7 @@
         } else {
             assert_string_equal(s, "cancelled");
             only_cancelled(second, PAIR_CANCEL_S);
-            assert_false(held(second));
+            assert_int_equal(standin_workers_starts_of(second), 0);
         }
     }
 }
@@ -140,6 +145,7 @@
     }
     pair_begin(owner);
     follows("req-15001", "req-15002");
+    follows("req-15001", "req-15003");
     follows("req-15002", "req-15003");
     assert_int_equal(standin_workers_most(), 1);
 }
@@ -169,7 +175,9 @@
     only_cancelled("req-16003", 10);
     submit_after("req-16005", "red", "[\"req-16003\"]");
     only_cancelled("req-16005", 5);
-    assert_false(held("req-16002") || held("req-16003") || held("req-16005"));
+    assert_int_equal(standin_workers_starts_of("req-16002/") + standin_workers_starts_of("req-16003/") +
+                         standin_workers_starts_of("req-16005/"),
+                     0);
     assert_true(pair_becomes("req-16004", "done", STAGE_S));
 }
 
--- a/src/service/service_upgrade_test.c
+++ b/src/service/service_upgrade_test.c
@@ -206,6 +206,10 @@
     assert_int_equal(running("req-90007", 2) + running("req-90008", 2), cancelled ? 0 : 4);
     assert_true(all_running("req-90001", 2, 10) && all_running("req-90002", WIDE, 20) &&
                 all_running("req-90003", 3, 10));
+    /* Nothing that ran was started again: no record was read as other tasks than it was written for. */
+    assert_int_equal(standin_workers_starts_of("req-90001/"), 2);
+    assert_int_equal(standin_workers_starts_of("req-90002/"), WIDE);
+    assert_int_equal(standin_workers_starts_of("req-90003/"), 3);
     /* A wide array ends under the new limits though its record was too large for them, and another is as wide as it. */
     cancel_at(1, "req-90002");
     start = base_now();
--- a/tests/standin/fleet.c
+++ b/tests/standin/fleet.c
@@ -96,6 +96,40 @@
     return o;
 }
 
+/* When a task was started first, and how often. */
+struct start {
+    struct timespec first;
+    int count;
+};
+static GHashTable *started; /* task -> struct start */
+
+static void note_start(const char *task) {
+    if (!started) started = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    struct start *s = g_hash_table_lookup(started, task);
+    if (!s) {
+        s = g_new0(struct start, 1);
+        s->first = base_now();
+        g_hash_table_insert(started, g_strdup(task), s);
+    }
+    s->count++;
+}
+
+static int starts_of(const char *prefix) {
+    GHashTableIter it;
+    gpointer task, s;
+    int n = 0;
+    if (!started) return 0;
+    g_hash_table_iter_init(&it, started);
+    while (g_hash_table_iter_next(&it, &task, &s))
+        if (g_str_has_prefix(task, prefix)) n += ((const struct start *)s)->count;
+    return n;
+}
+
+static struct timespec began(const char *task) {
+    const struct start *s = started ? g_hash_table_lookup(started, task) : NULL;
+    return s ? s->first : (struct timespec){0, 0};
+}
+
 static void obey(struct worker *w, const cJSON *answer) {
     int64_t fence = 0;
     if (!base_int(answer, "fence", &fence) || fence < w->fence) return;
@@ -124,6 +158,7 @@
             y.fetch_s = fetch_prefix && g_str_has_prefix(task, fetch_prefix) ? fetch_s : 0;
             g_array_append_val(w->tasks, y);
             starts++;
+            note_start(task);
             most = MAX(most, running_now(task));
             if (peak_prefix) peak = MAX(peak, held_now(peak_prefix));
         } else if (strcmp(verb, "stop") == 0 && have && !have->ended && w->reach != STANDIN_DEFIANT) {
@@ -365,6 +400,13 @@
 int standin_workers_running(const char *task) { GET(running_now(task)) }
 int standin_workers_most(void) { GET(most) }
 int standin_workers_starts(void) { GET(starts) }
+struct timespec standin_workers_began(const char *task) {
+    pthread_mutex_lock(&lock);
+    struct timespec when = began(task);
+    pthread_mutex_unlock(&lock);
+    return when;
+}
+int standin_workers_starts_of(const char *prefix) { GET(starts_of(prefix)) }
 void standin_cloud_willing(void) { SET(refused = G_N_ELEMENTS(refusals)) }
 void standin_workers_ports(int first) { SET(first_port = first) }
 void standin_workers_watch(const char *prefix) { SET(peak_prefix = prefix; peak = 0) }
--- a/tests/standin/fleet.h
+++ b/tests/standin/fleet.h
@@ -18,7 +18,9 @@
 int standin_workers_holding(const char *task); /* the same, and those that still fetch for it */
 int standin_workers_most(void);                /* the most machines that ever ran one task at the same time */
 int standin_workers_starts(void);
-void standin_workers_ports(int first); /* where machines listen; before the first is rented */
+int standin_workers_starts_of(const char *prefix);       /* of tasks whose names begin so */
+struct timespec standin_workers_began(const char *task); /* its first start; zero: never */
+void standin_workers_ports(int first);                   /* where machines listen; before the first is rented */
 /* The most tasks whose names begin so that were ever held at the same time, by any machine. */
 void standin_workers_watch(const char *prefix);
 int standin_workers_peak(void);
--- a/tests/standin/state.c
+++ b/tests/standin/state.c
@@ -52,7 +52,19 @@
     g_ptr_array_add(events, e);
 }
 
+static GHashTable *done_at; /* uid -> struct timespec */
+
+static void note_done(const char *key, const char *text) {
+    if (!g_str_has_prefix(key, "job/") || !strstr(text, "\"state\":\"done\"")) return;
+    if (!done_at) done_at = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    if (g_hash_table_contains(done_at, key + 4)) return;
+    struct timespec *now = g_new0(struct timespec, 1);
+    *now = base_now();
+    g_hash_table_insert(done_at, g_strdup(key + 4), now);
+}
+
 static void put(const char *key, const char *text, int64_t lease) {
+    note_done(key, text);
     struct row *r = g_new0(struct row, 1);
     r->text = g_strdup(text);
     r->stamp = epoch;
@@ -358,6 +370,14 @@
     return l.bytes;
 }
 
+struct timespec standin_state_done_at(const char *uid) {
+    pthread_mutex_lock(&lock);
+    const struct timespec *at = done_at ? g_hash_table_lookup(done_at, uid) : NULL;
+    struct timespec when = at ? *at : (struct timespec){0, 0};
+    pthread_mutex_unlock(&lock);
+    return when;
+}
+
 int standin_state_unguarded(void) {
     pthread_mutex_lock(&lock);
     int n = unguarded;
