--- a/src/renting/renting.c
+++ b/src/renting/renting.c
@@ -130,159 +130,203 @@
     }
 }
 
-static void rent_for_share(int k, struct rent_order *out, int most, int *n) {
-    GArray *vms = g_array_new(FALSE, FALSE, sizeof(struct renting_vm));
-    int have = 0, fresh = 0, steady = 0;
-    double backlog = 0, slots = 0; /* work that waits, and GPUs that work it off */
-    bool roomy = false, booting = false;
-    struct machine *reception = rounds_reception(k);
-    memset(zone_count, 0, sizeof zone_count);
-    for (guint i = 0; i < records_of(k)->len; i++) {
-        struct machine *m = records_of(k)->pdata[i];
-        if (zone_of(m->site)) ++*zone_of(m->site);
-        if (records_leaving(m)) continue;
-        have++;
-        const struct flavour_info *f = cloud_flavour(m->sku);
-        if (f && m->spot) slots += f->gpus;
-        for (guint b = 0; !m->spot && b < m->bookings->len; b++) {
-            const struct job_spec *s = &((struct booking *)m->bookings->pdata[b])->job->spec;
-            if (s->reclaimable) slots += s->gpus;
-        }
-        if (!m->up) {
-            if (watch_zone_cut(k, m->site)) continue; /* nobody knows when it is heard */
-            renting_vm_add(vms, m->sku, m->site, m->spot);
-            booting = true;
-        } else if (!m->spot && !m->draining && m->warning < 0) {
-            steady++;
-            /* Whole ones are kept for gangs that lack others. */
-            if (bookings_live(m) == 0 && m->open) {
-                guint before = vms->len;
-                renting_vm_add(vms, m->sku, m->site, false);
-                if (vms->len > before) g_array_index(vms, struct renting_vm, before).kept = true;
-            }
-            if (m != reception && placement_occupancy(m, (int)cfg->tuning.window) < cfg->tuning.admission) roomy = true;
-        }
+/* What a share has, and what the plan makes of it. */
+struct share_plan {
+    int share;
+    GArray *vms;     /* struct renting_vm: there with room, on their way, and ordered */
+    guint first_new; /* those from here on are ordered by this plan */
+    int have, ordered, steady;
+    bool roomy;            /* another machine than the reception is below the admission threshold */
+    bool booting;          /* machines are on their way */
+    double backlog, slots; /* work that may use cheap machines, in GPU seconds, and the GPUs that work it off */
+    struct machine *reception;
+};
+
+static void count_machine(struct share_plan *p, struct machine *m) {
+    if (zone_of(m->site)) ++*zone_of(m->site);
+    if (records_leaving(m)) return;
+    p->have++;
+    const struct flavour_info *f = cloud_flavour(m->sku);
+    if (f && m->spot) p->slots += f->gpus;
+    for (guint b = 0; !m->spot && b < m->bookings->len; b++) {
+        const struct job_spec *s = &((struct booking *)m->bookings->pdata[b])->job->spec;
+        if (s->reclaimable) p->slots += s->gpus;
+    }
+    if (!m->up) {
+        if (watch_zone_cut(p->share, m->site)) return; /* nobody knows when it is heard */
+        renting_vm_add(p->vms, m->sku, m->site, m->spot);
+        p->booting = true;
+        return;
+    }
+    if (m->spot || m->draining || m->warning >= 0) return;
+    p->steady++;
+    /* Whole ones are kept for gangs that lack others. */
+    if (bookings_live(m) == 0 && m->open) {
+        guint before = p->vms->len;
+        renting_vm_add(p->vms, m->sku, m->site, false);
+        if (p->vms->len > before) g_array_index(p->vms, struct renting_vm, before).kept = true;
     }
+    if (m != p->reception && placement_occupancy(m, (int)cfg->tuning.window) < cfg->tuning.admission) p->roomy = true;
+}
+
+static void count_machines(struct share_plan *p) {
+    memset(zone_count, 0, sizeof zone_count);
+    for (guint i = 0; i < records_of(p->share)->len; i++) count_machine(p, records_of(p->share)->pdata[i]);
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, records_unregistered_all());
     while (g_hash_table_iter_next(&it, NULL, &v)) {
-        struct records_unregistered *c = v;
-        if (c->share != k) continue;
-        renting_vm_add(vms, c->sku, c->site, c->spot);
-        have++;
-        booting = true;
+        const struct records_unregistered *u = v;
+        if (u->share != p->share) continue;
+        renting_vm_add(p->vms, u->sku, u->site, u->spot);
+        p->have++;
+        p->booting = true;
     }
-    GArray *order = rounds_rank(k);
-    int waiting = 0;
-    for (guint i = 0; i < order->len; i++) {
-        const struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        if (j->unplaced) waiting += rounds_missing(j);
-    }
-    zone_lot = CLAMP(waiting / 8, 1, 48);
-    /* What another share is about to pass needs no rental; if it doesn't come soon, it is rented after all. */
+}
+
+#define TRANSFER_S 4 /* for so long another share's machine is waited for */
+
+/* What another share is about to transfer needs no rental; if it doesn't come soon, it is rented after all. */
+static void count_transfers(struct share_plan *p, const GArray *order) {
     double waited = 0;
     for (guint i = 0; i < order->len; i++) {
-        struct job *j = g_array_index(order, struct rounds_ranked, i).j;
+        const struct job *j = g_array_index(order, struct rounds_ranked, i).j;
         if (j->unplaced && !j->spec.reclaimable) waited = MAX(waited, base_since(j->seen));
     }
-    for (guint i = 0; i < records_machines()->len && waited < 4; i++) {
-        struct machine *m = records_machines()->pdata[i];
-        if (m->share == k || m->share < 0 || !transfer_possible(m) || m->transfer_to >= 0) continue;
-        guint before = vms->len;
-        renting_vm_add(vms, m->sku, m->site, false);
-        if (vms->len > before) g_array_index(vms, struct renting_vm, before).foreign = true;
+    for (guint i = 0; i < records_machines()->len && waited < TRANSFER_S; i++) {
+        const struct machine *m = records_machines()->pdata[i];
+        if (m->share == p->share || m->share < 0 || !transfer_possible(m) || m->transfer_to >= 0) continue;
+        guint before = p->vms->len;
+        renting_vm_add(p->vms, m->sku, m->site, false);
+        if (p->vms->len > before) g_array_index(p->vms, struct renting_vm, before).foreign = true;
     }
-    guint first_new = vms->len;
-    /* Work that may use cheap machines gets dear ones only for what the present ones can't work off in a part of
-     * the time in which its users want it done. */
-    int cap = (int)cfg->tuning.machines_per_share;
-    for (guint i = 0; i < order->len; i++) {
-        struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        if (!j->unplaced && !j->at_risk) continue;
-        int left = j->spec.shape == JOB_GROUP ? j->spec.tasks : (j->unplaced ? rounds_missing(j) : 0) + j->at_risk;
-        double used = 0;
-        char site[64] = "";
-        if (placement_site(j))
-            g_strlcpy(site, placement_site(j), sizeof site);
-        else if (j->spec.together)
-            fullest_zone(k, vms, j, site, sizeof site);
-        const struct settings_team *t = &cfg->teams[j->spec.team];
-        for (int x = 0; x < left && x < 128; x++) {
-            used += j->spec.gpus;
-            if (t->gpus_max > 0 && used > t->gpus_max) break;
-            /* Spread jobs ask for a zone that has none of them yet. */
-            const char *want = site[0] ? site : NULL;
-            if (j->spec.spread && !want)
-                for (int z = 0; z < cfg->n_zones && !want; z++) {
-                    int here = 0;
-                    for (guint b = 0; b < j->bookings->len; b++)
-                        here += strcmp(((struct booking *)j->bookings->pdata[b])->m->site, cfg->zones[z]) == 0;
-                    if (here < (j->spec.tasks + 1) / 2 && j->bookings->len && here == 0) want = cfg->zones[z];
-                }
-            bool dear = !j->spec.reclaimable;
-            if (!dear) {
-                backlog += MAX(j->spec.runtime_s, 1) * j->spec.gpus;
-                dear = g_array_index(order, struct rounds_ranked, i).within ||
-                       (slots > 0 && backlog / slots > cfg->tuning.dear_backlog *
-                                                           settings_within(cfg, AIM_FINISHED, j->spec.jobclass, 120));
-            }
-            bool taken = false;
-            for (guint y = 0; y < vms->len && !taken; y++) {
-                struct renting_vm *vm = &g_array_index(vms, struct renting_vm, y);
-                taken = renting_vm_takes(vm, j, want);
-                if (taken && j->spec.together && !site[0]) g_strlcpy(site, vm->o.site, sizeof site);
-            }
-            struct rent_order o;
-            memset(&o, 0, sizeof o);
-            if (!taken && have + fresh < cap && choose(k, j, want, dear, &o)) {
-                static const int weights[] = {1, 2, 6, 8};
-                add_order(vms, &o, weights[j->rank]);
-                fresh++;
-                if (j->spec.reclaimable && cloud_flavour(o.sku)) slots += cloud_flavour(o.sku)->gpus;
-                renting_vm_takes(&g_array_index(vms, struct renting_vm, vms->len - 1), j, want);
-                if (j->spec.together && !site[0]) g_strlcpy(site, o.site, sizeof site);
-            }
-        }
-        int gathered = j->spec.together ? settings_zone(cfg, site) : -1;
-        j->zone = gathered < 0 ? NULL : cfg->zones[gathered];
+}
+
+/* A spread job's next task asks for a zone that has none of them yet; NULL: any. */
+static const char *spread_zone(const struct job *j) {
+    if (!j->spec.spread || j->bookings->len == 0) return NULL;
+    for (int z = 0; z < cfg->n_zones; z++) {
+        int here = 0;
+        for (guint b = 0; b < j->bookings->len; b++)
+            here += strcmp(((struct booking *)j->bookings->pdata[b])->m->site, cfg->zones[z]) == 0;
+        if (here == 0) return cfg->zones[z];
     }
-    /* Pressure: no other machine under the admission threshold, or a lone reception past its own. */
-    if (fresh == 0 && !booting && reception && !roomy && have < cap) {
-        bool lone = steady == 1;
-        double occ = placement_occupancy(reception, (int)cfg->tuning.window);
-        struct job *like = NULL;
-        for (guint b = 0; b < reception->bookings->len; b++) {
-            struct booking *x = reception->bookings->pdata[b];
-            if (!x->job->spec.reclaimable) like = x->job;
-        }
-        struct rent_order o;
-        memset(&o, 0, sizeof o);
-        if (like && (!lone || occ > cfg->tuning.reception) && choose(k, like, NULL, true, &o))
-            renting_vm_add(vms, o.sku, o.site, o.spot);
+    return NULL;
+}
+
+/* Whether the job's next task may have an ordinary machine. Work that may use cheap machines gets dear ones only for
+ * what the present ones can't work off in a part of the time in which its users want it done. */
+static bool may_be_dear(struct share_plan *p, const struct job *j, bool within) {
+    if (!j->spec.reclaimable) return true;
+    p->backlog += MAX(j->spec.runtime_s, 1) * j->spec.gpus;
+    double wanted = settings_within(cfg, AIM_FINISHED, j->spec.jobclass, 120);
+    return within || (p->slots > 0 && p->backlog / p->slots > cfg->tuning.dear_backlog * wanted);
+}
+
+/* One task: a place on what is there or on its way, else one more machine. site: where the job's tasks have to be, set
+ * by the first task of a job that stays together. */
+static void rent_for_task(struct share_plan *p, struct job *j, bool within, char *site, size_t n) {
+    static const int weights[] = {1, 2, 6, 8};
+    const char *want = site[0] ? site : spread_zone(j);
+    bool dear = may_be_dear(p, j, within);
+    for (guint y = 0; y < p->vms->len; y++) {
+        struct renting_vm *vm = &g_array_index(p->vms, struct renting_vm, y);
+        if (!renting_vm_takes(vm, j, want)) continue;
+        if (j->spec.together && !site[0]) g_strlcpy(site, vm->o.site, n);
+        return;
+    }
+    struct rent_order o;
+    memset(&o, 0, sizeof o);
+    if (p->have + p->ordered >= (int)cfg->tuning.machines_per_share || !choose(p->share, j, want, dear, &o)) return;
+    add_order(p->vms, &o, weights[j->rank]);
+    p->ordered++;
+    if (j->spec.reclaimable && cloud_flavour(o.sku)) p->slots += cloud_flavour(o.sku)->gpus;
+    renting_vm_takes(&g_array_index(p->vms, struct renting_vm, p->vms->len - 1), j, want);
+    if (j->spec.together && !site[0]) g_strlcpy(site, o.site, n);
+}
+
+#define TASKS_MOST 128 /* of a job that a plan looks at */
+
+static void rent_for_job(struct share_plan *p, struct job *j, bool within) {
+    int left = j->spec.shape == JOB_GROUP ? j->spec.tasks : (j->unplaced ? rounds_missing(j) : 0) + j->at_risk;
+    char site[64] = "";
+    if (placement_site(j))
+        g_strlcpy(site, placement_site(j), sizeof site);
+    else if (j->spec.together)
+        fullest_zone(p->share, p->vms, j, site, sizeof site);
+    double gpus_max = cfg->teams[j->spec.team].gpus_max, used = 0;
+    for (int x = 0; x < left && x < TASKS_MOST; x++) {
+        used += j->spec.gpus;
+        if (gpus_max > 0 && used > gpus_max) break;
+        rent_for_task(p, j, within, site, sizeof site);
+    }
+    int gathered = j->spec.together ? settings_zone(cfg, site) : -1;
+    j->zone = gathered < 0 ? NULL : cfg->zones[gathered];
+}
+
+/* Pressure: no other machine under the admission threshold, or a lone reception past its own. */
+static void rent_for_pressure(struct share_plan *p) {
+    if (p->ordered > 0 || p->booting || !p->reception || p->roomy || p->have >= (int)cfg->tuning.machines_per_share)
+        return;
+    double occupancy = placement_occupancy(p->reception, (int)cfg->tuning.window);
+    struct job *like = NULL;
+    for (guint b = 0; b < p->reception->bookings->len; b++) {
+        struct booking *x = p->reception->bookings->pdata[b];
+        if (!x->job->spec.reclaimable) like = x->job;
     }
-    rent_spares(k, vms, order, steady, have + fresh < cap ? cap - have - fresh : 0);
-    for (guint y = first_new; y < vms->len; y++) {
-        struct rent_order *o = &g_array_index(vms, struct renting_vm, y).o;
-        int i;
-        for (i = 0; i < *n; i++)
-            if (out[i].share == k && out[i].spot == o->spot && !strcmp(out[i].sku, o->sku) &&
-                !strcmp(out[i].site, o->site))
-                break;
+    struct rent_order o;
+    memset(&o, 0, sizeof o);
+    if (!like || (p->steady == 1 && occupancy <= cfg->tuning.reception) || !choose(p->share, like, NULL, true, &o))
+        return;
+    renting_vm_add(p->vms, o.sku, o.site, o.spot);
+}
+
+#define ORDER_MOST 50 /* machines a call may ask for */
+
+/* Adds up what the plan orders by type, zone and kind. */
+static void collect_orders(const struct share_plan *p, struct rent_order *out, int most, int *n) {
+    for (guint y = p->first_new; y < p->vms->len; y++) {
+        const struct rent_order *o = &g_array_index(p->vms, struct renting_vm, y).o;
+        int i = 0;
+        while (i < *n && !(out[i].share == p->share && out[i].spot == o->spot && !strcmp(out[i].sku, o->sku) &&
+                           !strcmp(out[i].site, o->site)))
+            i++;
         if (i == *n && *n < most) {
             out[i] = *o;
-            out[i].share = k;
+            out[i].share = p->share;
             out[i].count = 0;
             out[i].weight = 0;
             (*n)++;
         }
-        if (i < *n && out[i].count < 50) {
+        if (i < *n && out[i].count < ORDER_MOST) {
             out[i].count++;
             out[i].weight += o->weight;
         }
     }
+}
+
+static void rent_for_share(int k, struct rent_order *out, int most, int *n) {
+    struct share_plan p = {.share = k, .reception = rounds_reception(k)};
+    p.vms = g_array_new(FALSE, FALSE, sizeof(struct renting_vm));
+    count_machines(&p);
+    GArray *order = rounds_rank(k);
+    int waiting = 0;
+    for (guint i = 0; i < order->len; i++) {
+        const struct job *j = g_array_index(order, struct rounds_ranked, i).j;
+        if (j->unplaced) waiting += rounds_missing(j);
+    }
+    zone_lot = CLAMP(waiting / 8, 1, 48);
+    count_transfers(&p, order);
+    p.first_new = p.vms->len;
+    for (guint i = 0; i < order->len; i++) {
+        const struct rounds_ranked *r = &g_array_index(order, struct rounds_ranked, i);
+        if (r->j->unplaced || r->j->at_risk) rent_for_job(&p, r->j, r->within);
+    }
+    rent_for_pressure(&p);
+    rent_spares(k, p.vms, order, p.steady, MAX((int)cfg->tuning.machines_per_share - p.have - p.ordered, 0));
+    collect_orders(&p, out, most, n);
     g_array_free(order, TRUE);
-    g_array_free(vms, TRUE);
+    g_array_free(p.vms, TRUE);
 }
 
 static int weightier(const void *a, const void *b) {
--- a/src/rounds/plan.c
+++ b/src/rounds/plan.c
@@ -1,4 +1,5 @@
 /* What a round books, and what makes way for it. */
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -185,69 +186,100 @@
     return false;
 }
 
-void round_plan_jobs(struct round *r, int k) {
-    GArray *order = rounds_rank(k);
-    GPtrArray *mine = records_of(k), *room = g_ptr_array_new();
-    struct preempt_usage u[SETTINGS_TEAMS];
-    memset(u, 0, sizeof u);
-    struct placement_rules rules = {round_settings->tuning.reception, round_settings->tuning.admission,
-                                    rounds_reception(k)};
-    /* A team's jobs are all this share's; what is over has been proven gone. */
+/* What each team's tasks take. A team's jobs are all this share's; what is over has been proven gone. */
+static void count_usage(int k, struct preempt_usage *u) {
     GPtrArray *lists[] = {jobs_active_of(k), jobs_ended_of(k)};
-    for (int l = 0; l < 2; l++)
+    for (size_t l = 0; l < G_N_ELEMENTS(lists); l++)
         for (guint i = 0; i < lists[l]->len; i++) {
             const struct job *j = lists[l]->pdata[i];
-            int n = bookings_count(j);
             if (j->spec.team < 0) continue;
+            int n = bookings_count(j);
             u[j->spec.team].cpu += n * j->spec.vcpus;
             u[j->spec.team].gpu += n * j->spec.gpus;
         }
-    preempt_refresh();
-    /* Only what waits is looked at, and only machines with room for the smallest of it. */
-    int *missing = g_new0(int, order->len + 1);
-    double cpu = 1e18, gpu = 1e18, mem = 1e18;
+}
+
+/* Only what waits is looked at, and only machines with room for the smallest of it. */
+static GPtrArray *machines_with_room(GPtrArray *mine, const GArray *order, const int *missing) {
+    GPtrArray *room = g_ptr_array_new();
+    struct job_spec smallest = {.vcpus = INFINITY, .gpus = INFINITY, .memory_gb = INFINITY};
     for (guint i = 0; i < order->len; i++) {
-        struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        missing[i] = rounds_missing(j);
-        if (missing[i] <= 0) j->unplaced = false;
+        const struct job_spec *spec = &g_array_index(order, struct rounds_ranked, i).j->spec;
         if (missing[i] <= 0) continue;
-        cpu = MIN(cpu, j->spec.vcpus);
-        gpu = MIN(gpu, j->spec.gpus);
-        mem = MIN(mem, j->spec.memory_gb);
+        smallest.vcpus = MIN(smallest.vcpus, spec->vcpus);
+        smallest.gpus = MIN(smallest.gpus, spec->gpus);
+        smallest.memory_gb = MIN(smallest.memory_gb, spec->memory_gb);
     }
-    struct job_spec smallest = {.vcpus = cpu, .gpus = gpu, .memory_gb = mem};
     for (guint i = 0; i < mine->len; i++) {
         struct machine *m = mine->pdata[i];
         if (m->open && placement_fits(m, &smallest)) g_ptr_array_add(room, m);
     }
-    records_shares[k].fit_nowhere = false;
-    int jobs_planned = 0;
-    double free_cpu = 0, free_gpu = 0;
+    return room;
+}
+
+/* What is free on the machines with room, less what the jobs looked at so far ask for. */
+struct free_room {
+    double cpu, gpu;
+};
+
+static struct free_room count_free(const GPtrArray *room) {
+    struct free_room free = {0, 0};
     for (guint i = 0; i < room->len; i++) {
         const struct machine *m = room->pdata[i];
-        free_cpu += m->flavour->vcpus - m->used_cpu;
-        free_gpu += m->flavour->gpus - m->used_gpu;
+        free.cpu += m->flavour->vcpus - m->used_cpu;
+        free.gpu += m->flavour->gpus - m->used_gpu;
     }
+    return free;
+}
+
+static void take_free(struct free_room *free, const struct job *j, int tasks) {
+    free->cpu -= tasks * j->spec.vcpus;
+    free->gpu -= tasks * j->spec.gpus;
+}
+
+static bool waits_to_retry(const struct job *j) { return base_since(j->retry_at) < 0; }
+
+/* The budget carries no more: the next round goes on. What surely has no room needs machines already now: at a start
+ * from nothing they were once asked for half a minute late. */
+static void mark_unplaced(int k, const GArray *order, guint from, const int *missing, struct free_room free) {
+    for (guint i = from; i < order->len; i++) {
+        struct job *j = g_array_index(order, struct rounds_ranked, i).j;
+        if (missing[i] <= 0 || waits_to_retry(j)) continue;
+        take_free(&free, j, missing[i]);
+        j->unplaced = free.cpu < 0 || free.gpu < 0;
+        records_shares[k].fit_nowhere |= j->unplaced;
+    }
+}
+
+void round_plan_jobs(struct round *r, int k) {
+    GArray *order = rounds_rank(k);
+    GPtrArray *mine = records_of(k);
+    struct preempt_usage u[SETTINGS_TEAMS];
+    memset(u, 0, sizeof u);
+    struct placement_rules rules = {round_settings->tuning.reception, round_settings->tuning.admission,
+                                    rounds_reception(k)};
+    count_usage(k, u);
+    preempt_refresh();
+    int *missing = g_new0(int, order->len + 1);
+    for (guint i = 0; i < order->len; i++) {
+        struct job *j = g_array_index(order, struct rounds_ranked, i).j;
+        missing[i] = rounds_missing(j);
+        if (missing[i] <= 0) j->unplaced = false;
+    }
+    GPtrArray *room = machines_with_room(mine, order, missing);
+    struct free_room free = count_free(room);
+    records_shares[k].fit_nowhere = false;
+    int jobs_planned = 0;
     for (guint i = 0; i < order->len; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
         bool within = g_array_index(order, struct rounds_ranked, i).within;
-        if (missing[i] <= 0 || base_since(j->retry_at) < 0) continue;
+        if (missing[i] <= 0 || waits_to_retry(j)) continue;
         if (jobs_planned >= r->left || r->plans->len >= PLANS_MOST) {
-            /* The budget carries no more: the next round goes on. What surely has no room needs machines already now:
-             * at a start from nothing they were once asked for half a minute late. */
             r->more = true;
-            for (; i < order->len; i++) {
-                j = g_array_index(order, struct rounds_ranked, i).j;
-                if (missing[i] <= 0 || base_since(j->retry_at) < 0) continue;
-                free_cpu -= missing[i] * j->spec.vcpus;
-                free_gpu -= missing[i] * j->spec.gpus;
-                j->unplaced = free_cpu < 0 || free_gpu < 0;
-                records_shares[k].fit_nowhere |= j->unplaced;
-            }
+            mark_unplaced(k, order, i, missing, free);
             break;
         }
-        free_cpu -= missing[i] * j->spec.vcpus;
-        free_gpu -= missing[i] * j->spec.gpus;
+        take_free(&free, j, missing[i]);
         guint before = r->plans->len;
         j->unplaced = j->spec.shape == JOB_GROUP ? plan_group(r, j, within, mine, room, &rules, u)
                                                  : plan_tasks(r, j, within, missing[i], mine, room, &rules, u);
