--- a/src/service/service.c
+++ b/src/service/service.c
@@ -94,10 +94,11 @@
     users_latency(&answers, &median, &p95);
     store_lock();
     log_info(
-        "status: %u unfinished jobs, %u machines, store %.1f calls/s, store seen %.1f s ago, %d answers to users "
+        "status: %u unfinished jobs, %u machines, store %.1f calls/s (pace %.1f, of changes %.1f), store seen %.1f s "
+        "ago, %d answers to users "
         "(median %.1f ms, p95 %.1f ms)",
-        jobs_active()->len, records_machines()->len, (now - last) / 10.0, base_since(store_verified()), answers, median,
-        p95);
+        jobs_active()->len, records_machines()->len, (now - last) / 10.0, store_budget_pace(false),
+        store_budget_pace(true), base_since(store_verified()), answers, median, p95);
     store_unlock();
     last = now;
 }
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -13,7 +13,7 @@
  * classes. Parts are not used evenly, so that each takes more than its own while the service does not refuse, and
  * falls back when it does. */
 static pthread_mutex_t budget_lock = PTHREAD_MUTEX_INITIALIZER;
-static double budget_calls, budget_writes, budget_pace = 1;
+static double budget_calls, budget_writes, pace_calls = 1, pace_writes = 1;
 static int budget_parts = 1;
 static double budget_writing = 1; /* our part of the changes */
 static struct timespec budget_at, budget_block;
@@ -21,10 +21,11 @@
 static const double budget_reserve[] = {-1e9, 0, 0.08, 0.2, 0.3};
 #define PACE_LEAST 0.8
 #define PACE_MOST 3.0
+#define PACE_GROWTH 0.08 /* a second */
 
-static double rate_calls(void) { return MIN(cfg->state_rps * 0.8, cfg->state_rps * budget_pace / budget_parts); }
+static double rate_calls(void) { return MIN(cfg->state_rps * 0.8, cfg->state_rps * pace_calls / budget_parts); }
 static double rate_writes(void) {
-    return MIN(cfg->state_write_rps * 0.8, cfg->state_write_rps * 0.95 * budget_pace * budget_writing);
+    return MIN(cfg->state_write_rps * 0.8, cfg->state_write_rps * 0.95 * pace_writes * budget_writing);
 }
 /* The bucket holds a whole transaction, however small the part is. */
 static double most_writes(void) { return MIN(MAX(rate_writes(), cfg->txn_ops), cfg->state_write_rps); }
@@ -35,7 +36,8 @@
     budget_at = now;
     budget_calls = MIN(budget_calls + dt * rate_calls(), rate_calls());
     budget_writes = MIN(budget_writes + dt * rate_writes(), most_writes());
-    budget_pace = MIN(budget_pace + dt * 0.08, PACE_MOST);
+    pace_calls = MIN(pace_calls + dt * PACE_GROWTH, PACE_MOST);
+    pace_writes = MIN(pace_writes + dt * PACE_GROWTH, PACE_MOST);
 }
 
 void store_budget_parts(int controllers, double writing) {
@@ -71,13 +73,31 @@
     return blocked || room < 0 ? 0 : (int)room;
 }
 
-static void budget_pause(void) {
+/* After 429. One without changes was over the rate of requests only: with many polls, slowing the changes down for it
+ * once left hundreds of machines idle for minutes, while the rate of changes was half used. */
+static void budget_pause(bool changes) {
     pthread_mutex_lock(&budget_lock);
     budget_block = base_wall_in(base_span(0.12));
-    budget_pace = MAX(budget_pace * 0.8, PACE_LEAST);
+    pace_calls = MAX(pace_calls * 0.8, PACE_LEAST);
+    if (changes) pace_writes = MAX(pace_writes * 0.8, PACE_LEAST);
     pthread_mutex_unlock(&budget_lock);
 }
 
+double store_budget_pace(bool changes) {
+    pthread_mutex_lock(&budget_lock);
+    double pace = changes ? pace_writes : pace_calls;
+    pthread_mutex_unlock(&budget_lock);
+    return pace;
+}
+
+bool store_budget_calls_scarce(void) {
+    pthread_mutex_lock(&budget_lock);
+    budget_refill();
+    bool scarce = budget_calls < 0.5 * rate_calls();
+    pthread_mutex_unlock(&budget_lock);
+    return scarce;
+}
+
 unsigned store_budget_used(void) {
     pthread_mutex_lock(&budget_lock);
     unsigned n = budget_used;
@@ -143,7 +163,7 @@
     enum http_outcome o = http_call(c, method, url, body, timeout_ms, status, answer);
     if (o == HTTP_NOT_SENT) return STORE_REFUSED;
     if (o == HTTP_UNKNOWN) return STORE_UNKNOWN;
-    if (*status == 429) budget_pause();
+    if (*status == 429) budget_pause(body && strstr(body, "\"then\":"));
     if (*status == 429 || *status == 503) return STORE_REFUSED;
     if (*status == 400) return STORE_BAD;
     return STORE_OK;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -53,5 +53,7 @@
 void store_nudge(void);
 unsigned store_budget_used(void);
 int store_budget_room(enum store_class cls);              /* changes that the budget allows to the class now */
+double store_budget_pace(bool changes);                   /* how much more than its part is taken, of either rate */
+bool store_budget_calls_scarce(void);                     /* requests should be gathered into fewer */
 void store_budget_parts(int controllers, double writing); /* how many share the service; our part of the changes */
 #endif
--- a/src/store/store_test.c
+++ b/src/store/store_test.c
@@ -149,6 +149,27 @@
         assert_int_equal(http_crowded(rows[i].open, rows[i].most), rows[i].want);
 }
 
+/* A refusal of a transaction without changes was over the rate of requests: it slows down requests, and changes not. */
+static void refusals(void **state) {
+    (void)state;
+    for (int changes = 0; changes < 2; changes++) {
+        double before[] = {store_budget_pace(false), store_budget_pace(true)};
+        struct store_txn t;
+        struct store_answer a;
+        store_txn_init(&t);
+        store_txn_if(&t, "x/refused", 0);
+        if (changes) store_txn_set(&t, "x/refused", cJSON_CreateObject(), 0);
+        base_sleep(base_span(0.3)); /* the budget refills */
+        standin_state_trouble(STANDIN_BUDGET);
+        assert_int_equal(store_multi(c, STORE_CANCEL, &t, &a), STORE_REFUSED);
+        standin_state_trouble(STANDIN_NONE);
+        store_answer_clear(&a);
+        store_txn_free(&t);
+        assert_true(store_budget_pace(false) < before[0]);
+        assert_int_equal(store_budget_pace(true) < before[1], changes);
+    }
+}
+
 int main(void) {
     char err[256];
     char *text = site_with(SITE_JSON, "127.0.0.1:18084", "127.0.0.1:18184");
@@ -158,7 +179,7 @@
     store_observe("z/", count_applied);
     c = http_client_new();
     const struct CMUnitTest tests[] = {cmocka_unit_test(results), cmocka_unit_test(late_transaction),
-                                       cmocka_unit_test(mirror), cmocka_unit_test(sent_or_not),
-                                       cmocka_unit_test(crowded)};
+                                       cmocka_unit_test(mirror),  cmocka_unit_test(sent_or_not),
+                                       cmocka_unit_test(crowded), cmocka_unit_test(refusals)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/users/users.c
+++ b/src/users/users.c
@@ -232,11 +232,20 @@
     return true;
 }
 
+#define POLL_GATHER_S 0.08
+
+/* Adds what has come meanwhile. */
+static void gather_more(struct request_queue *l, GPtrArray *batch, guint most) {
+    pthread_mutex_lock(&l->lock);
+    while (batch->len < most && l->q->length) g_ptr_array_add(batch, g_queue_pop_head(l->q));
+    pthread_mutex_unlock(&l->lock);
+}
+
 static void gather(struct request_queue *l, GPtrArray *batch, guint most) {
     pthread_mutex_lock(&l->lock);
     while (l->q->length == 0) base_cond_wait(&l->cond, &l->lock, base_span(10));
-    while (batch->len < most && l->q->length) g_ptr_array_add(batch, g_queue_pop_head(l->q));
     pthread_mutex_unlock(&l->lock);
+    gather_more(l, batch, most);
 }
 
 /* Polls: one compare-only transaction answers for a whole batch. */
@@ -247,6 +256,11 @@
     for (;;) {
         g_ptr_array_set_size(batch, 0);
         gather(&queues[1], batch, (guint)cfg->txn_ops * 4);
+        /* The batch widens where requests are scarce: polls by the hundred, a request each, left none for bookings. */
+        if (batch->len < (guint)cfg->txn_ops && store_budget_calls_scarce()) {
+            base_sleep(base_span(POLL_GATHER_S));
+            gather_more(&queues[1], batch, (guint)cfg->txn_ops * 4);
+        }
         struct store_txn t;
         struct store_answer ans;
         char key[96];
