--- a/src/bookings/bookings.c
+++ b/src/bookings/bookings.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../format/format.h"
 #include "../rounds/rounds.h"
 #include "../workers/workers.h"
 
@@ -11,8 +12,29 @@
 
 /* An entry takes up to 24 bytes with names of usual length; what is longer is cut off by bookings_value's caller, who
  * plans no more for a chunk that is full. */
-int bookings_chunk(void) { return CLAMP((int)((cfg->value_kb * 1024 - 256) / 24), 8, 4096) / 8 * 8; }
-int bookings_chunks(const struct job *j) { return (j->spec.tasks + bookings_chunk() - 1) / bookings_chunk(); }
+#define ENTRY_BYTES 24
+#define RECORD_BYTES 256 /* all else in a record */
+#define STRETCH_LEAST 8  /* bits of done tasks are kept in whole bytes */
+#define STRETCH_MOST 4096
+
+static int stretch_for(double value_kb) {
+    int entries = (int)((value_kb * 1024 - RECORD_BYTES) / ENTRY_BYTES);
+    return CLAMP(entries, STRETCH_LEAST, STRETCH_MOST) / STRETCH_LEAST * STRETCH_LEAST;
+}
+
+int bookings_first_stretch(void) { return stretch_for(cfg->value_kb); }
+int bookings_stretch(const struct job *j) { return j->stretch ? j->stretch : bookings_first_stretch(); }
+int bookings_chunks_of(const struct job *j, int stretch) { return (j->spec.tasks + stretch - 1) / stretch; }
+int bookings_chunks(const struct job *j) { return bookings_chunks_of(j, bookings_stretch(j)); }
+double bookings_value_most(void) { return 1024 * (format_active() ? cfg->next_value_kb : cfg->value_kb); }
+
+/* All records of a job change their stretch in one transaction, which also replaces what is on record in the old one.
+ * A job for which that is too many keeps its stretch; its records are filled up to the next limit only. */
+int bookings_write_stretch(const struct job *j) {
+    int now = bookings_stretch(j), next = stretch_for(cfg->next_value_kb);
+    if (!format_active() || now <= next) return now;
+    return j->n_runs == 0 || bookings_chunks_of(j, next) <= cfg->txn_ops ? next : now;
+}
 
 void bookings_key(const struct job *j, int chunk, char *key, size_t n) {
     snprintf(key, n, "run/%s/%d", j->spec.uid, chunk);
@@ -76,8 +98,8 @@
     return true;
 }
 
-cJSON *bookings_value(const struct job *j, int chunk, const GArray *plans, bool final) {
-    int from = chunk * bookings_chunk(), n = MIN(bookings_chunk(), j->spec.tasks - from);
+cJSON *bookings_value(const struct job *j, int chunk, int stretch, const GArray *plans, bool final) {
+    int from = chunk * stretch, n = MIN(stretch, j->spec.tasks - from);
     int64_t base = INT64_MAX;
     for (guint i = 0; i < j->bookings->len; i++) {
         const struct booking *b = j->bookings->pdata[i];
@@ -105,6 +127,7 @@
         g_string_append_printf(b, " %d@%s+%lld", p->task, p->m->id, (long long)(p->attempt - base));
     }
     cJSON *o = cJSON_CreateObject();
+    if (stretch != bookings_first_stretch()) cJSON_AddNumberToObject(o, "n", stretch);
     if (any) cJSON_AddStringToObject(o, "d", done);
     if (b->len) {
         cJSON_AddNumberToObject(o, "f", (double)base);
@@ -127,7 +150,7 @@
 }
 
 bool bookings_differ(const struct job *j, int chunk) {
-    int from = chunk * bookings_chunk(), n = MIN(bookings_chunk(), j->spec.tasks - from);
+    int stretch = bookings_stretch(j), from = chunk * stretch, n = MIN(stretch, j->spec.tasks - from);
     bool live = false;
     for (guint i = 0; i < j->bookings->len; i++) {
         const struct booking *b = j->bookings->pdata[i];
@@ -139,6 +162,14 @@
     return j->state != JOB_QUEUED && !live && j->runs && (j->runs[chunk] & 1);
 }
 
+/* The stretch that a record names; the first layout's names none. One that is gone had that of the job's others. */
+static int record_stretch(const struct job *j, const cJSON *data) {
+    int64_t stretch = 0;
+    if (!data) return bookings_stretch(j);
+    if (!base_int(data, "n", &stretch)) return bookings_first_stretch();
+    return stretch >= STRETCH_LEAST && stretch <= STRETCH_MOST && stretch % STRETCH_LEAST == 0 ? (int)stretch : 0;
+}
+
 static void apply_run(const char *rest, const cJSON *data, int64_t stamp) {
     (void)stamp;
     char uid[64], machine[64];
@@ -147,8 +178,14 @@
     g_strlcpy(uid, rest, MIN(sizeof uid, (size_t)(slash - rest) + 1));
     if (!jobs_uid_ok(uid)) return;
     struct job *j = jobs_find_or_stub(uid);
-    int chunk = (int)g_ascii_strtoll(slash + 1, NULL, 10), size = bookings_chunk(), from = chunk * size;
-    if (chunk < 0 || from >= JOB_TASKS_MOST) return;
+    int size = record_stretch(j, data);
+    if (size == 0) {
+        log_error("run/%s: its stretch can't be read, the bookings known of it stay", rest);
+        return;
+    }
+    int chunk = (int)g_ascii_strtoll(slash + 1, NULL, 10), from = chunk * size;
+    if (chunk < 0 || chunk >= JOB_TASKS_MOST || from >= JOB_TASKS_MOST) return;
+    jobs_set_stretch(j, size);
     jobs_run_record(j, chunk, data != NULL);
     const char *done = base_str(data, "d"), *text = base_str(data, "b");
     if (done) jobs_done_bits(j, done, from, size);
--- a/src/bookings/bookings.h
+++ b/src/bookings/bookings.h
@@ -5,8 +5,16 @@
 #include "../placement/placement.h"
 
 void bookings_init(const struct settings *s);
-int bookings_chunk(void); /* tasks a record holds; fixed by the size of a value */
-int bookings_chunks(const struct job *j);
+
+/* The stretch of a job: how many of its tasks one record holds. The first layout fixed it by the size of a value, and
+ * its records don't name it. Once the second layout is active, records that would not fit the service's next limit hold
+ * shorter stretches and name them: the two versions must never read one record as different tasks. */
+int bookings_first_stretch(void);
+int bookings_stretch(const struct job *j);       /* that of the records there are */
+int bookings_write_stretch(const struct job *j); /* that of the records its next write leaves */
+int bookings_chunks(const struct job *j);        /* records of its present stretch */
+int bookings_chunks_of(const struct job *j, int stretch);
+double bookings_value_most(void); /* bytes that a record written now may take */
 
 /* With store_lock held. */
 bool bookings_booked(const struct job *j, int task); /* not counting what is over */
@@ -16,7 +24,7 @@
 void bookings_job_changed(struct job *j);
 /* The value of a chunk: done tasks (but not of a job whose end is recorded with it), bookings that are not over, and
  * the plans. NULL: nothing to keep. */
-cJSON *bookings_value(const struct job *j, int chunk, const GArray *plans, bool final);
+cJSON *bookings_value(const struct job *j, int chunk, int stretch, const GArray *plans, bool final);
 bool bookings_differ(const struct job *j, int chunk); /* what is known differs from the record */
 void bookings_key(const struct job *j, int chunk, char *key, size_t n);
 
--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -154,7 +154,7 @@
         store_lock();
         apply_types("", a, 0);
         store_unlock();
-        if (text && strlen(text) < cfg->value_kb * 1024 - 64) {
+        if (text && strlen(text) < cfg->next_value_kb * 1024 - 64) {
             struct store_txn t;
             struct store_answer ans;
             store_txn_init(&t);
--- a/src/ledger/ledger.c
+++ b/src/ledger/ledger.c
@@ -128,7 +128,7 @@
     GPtrArray *jobs = jobs_active_of(k);
     for (guint i = 0; i < jobs->len; i++) {
         struct job *j = jobs->pdata[i];
-        waiting[j->spec.rank] += MAX(0, rounds_missing(j));
+        waiting[j->rank] += MAX(0, rounds_missing(j));
     }
     log_info(
         "share %d: waiting %d/%d/%d/%d tasks (production to idle), up %d ordinary %d spot, booting %d+%d, draining %d, "
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -4,6 +4,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "../format/format.h"
 #include "../records/records.h"
 #include "../watch/watch.h"
 
@@ -206,6 +207,7 @@
             give(t, k, me);
             return true;
         }
+    if (format_announce(t)) return true;
     if (me->deaf != my_deaf) {
         char key[96];
         snprintf(key, sizeof key, "node/%s", cfg->node);
@@ -279,7 +281,7 @@
     if (store_multi(c, STORE_RENEW, &t, &a) == STORE_OK) {
         store_lock();
         my_lease = lease;
-        store_apply(key, cJSON_GetObjectItemCaseSensitive(cJSON_GetArrayItem(t.ops, 0), "data"), a.epoch);
+        store_apply_written(&t, a.epoch);
         store_unlock();
         log_info("joined as %s/%s", cfg->node, my_inc);
     }
@@ -324,10 +326,8 @@
         if (send) {
             enum store_result r = store_multi(c, STORE_RENEW, &t, &a);
             if (r == STORE_OK) {
-                const cJSON *x;
                 store_lock();
-                cJSON_ArrayForEach(x, t.ops)
-                    store_apply(base_str(x, "set"), cJSON_GetObjectItemCaseSensitive(x, "data"), a.epoch);
+                store_apply_written(&t, a.epoch);
                 store_unlock();
             } else if (r == STORE_CONFLICT) {
                 for (guint i = 0; i < a.failed->len; i++) store_refresh(c, a.failed->pdata[i]);
--- a/src/passing/passing.c
+++ b/src/passing/passing.c
@@ -107,7 +107,7 @@
     GPtrArray *jobs = jobs_active_of(k);
     for (guint i = 0; i < jobs->len; i++) {
         struct job *o = jobs->pdata[i];
-        if (o->hungry && o->spec.rank >= j->spec.rank) return NULL;
+        if (o->hungry && o->rank >= j->rank) return NULL;
     }
     for (guint i = 0; i < records_of(k)->len; i++) {
         struct machine *m = records_of(k)->pdata[i];
--- a/src/preempt/preempt.c
+++ b/src/preempt/preempt.c
@@ -38,7 +38,7 @@
  * above: two teams that each had some work beyond once stopped one another's tasks for minutes. */
 bool preempt_evictable(const struct booking *x, const struct job *j, bool within) {
     if (x->over || x->stop || x->job->spec.shape != JOB_BATCH) return false;
-    if (x->job->spec.rank < j->spec.rank) return true;
+    if (x->job->rank < j->rank) return true;
     return within && x->job->spec.team != j->spec.team && preempt_beyond(j->spec.team) + j->spec.gpus <= 1e-6 &&
            preempt_beyond(x->job->spec.team) >= MAX(x->job->spec.gpus, 1e-3);
 }
--- a/src/records/records.c
+++ b/src/records/records.c
@@ -15,6 +15,7 @@
 static GHashTable *newcomers;
 static GHashTable *gone; /* ids that were recorded and are no more: a stale list must not bring them back */
 static bool refused;
+static bool stale[RECORDS_SHARES][RECORDS_PAGES]; /* lists machines that a later record has moved to another page */
 
 struct records_share records_shares[RECORDS_SHARES];
 
@@ -97,6 +98,9 @@
 static struct machine *machine_here(const char *id, int share, int page) {
     struct machine *m = records_find_or_stub(id);
     if (!m->known) m->dead = m->returning = m->want_return = false;
+    /* The page that it was on still lists it, unless that is written without it at the same time. */
+    if (m->known && m->share >= 0 && m->page >= 0 && m->page < RECORDS_PAGES && (m->share != share || m->page != page))
+        stale[m->share][m->page] = true;
     g_hash_table_remove(newcomers, id);
     g_hash_table_remove(gone, id);
     m->known = true;
@@ -121,6 +125,8 @@
     /* A machine that a page no longer names is gone. One that can't be read names nobody: taken for an empty one, or an
      * entry of it for none, it would release what still runs. */
     bool whole = !data || cJSON_IsArray(cJSON_GetObjectItemCaseSensitive(data, "m"));
+    if (page < 0 || page >= RECORDS_PAGES) return;
+    stale[k][page] = false;
     GHashTable *seen = g_hash_table_new(g_direct_hash, g_direct_equal);
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(data, "m")) {
         /* id, address, type, zone, 1 spot + 2 on its way back, fence, born, images */
@@ -135,7 +141,10 @@
          * holds, in whatever order they are read: once a controller that had read them anew took the machine for
          * another's, left it out of its page, and the others released what ran on it. */
         const struct machine *known = records_find(f[0]->valuestring);
-        if (known && known->placed > stamp && (known->share != k || known->page != page)) continue;
+        if (known && known->placed > stamp && (known->share != k || known->page != page)) {
+            stale[k][page] = true;
+            continue;
+        }
         struct machine *m = machine_here(f[0]->valuestring, k, page);
         m->placed = stamp;
         g_hash_table_add(seen, m);
@@ -292,31 +301,79 @@
 
 /* ---- values ---- */
 
-static int page_most(void) { return (int)(cfg->value_kb * 1024 * 0.92); }
-
-/* What an entry takes beside its names, at most: numbers, brackets and a few images. */
+/* What a page takes beside its entries, and an entry beside its names, at most: numbers, brackets and a few images. */
+#define PAGE_BYTES 600
 #define ENTRY_BYTES 72
+#define ADDRESS_BYTES 22
+#define PAGE_PART 0.92 /* of a value that a page may fill */
+/* The same without images, which are left out where they don't fit: all that must have room under the next limit. */
+#define NEXT_PAGE_BYTES 104
+#define NEXT_ENTRY_BYTES 40
+
+/* How full a page is, by both measures. A page is filled only as far as the first version, which writes images into it,
+ * can rewrite it under the present limit, and anyone under the next. */
+struct page_fill {
+    int present, next;
+};
 
-int records_page_for(int k, const char *id) {
-    int bytes[RECORDS_PAGES] = {0}, most = page_most() - 600, need = (int)strlen(id) + 22 + ENTRY_BYTES;
+static void fill_add(struct page_fill *f, const char *id, bool kept) {
+    f->present += (int)strlen(id) + ADDRESS_BYTES + ENTRY_BYTES;
+    if (kept) f->next += (int)strlen(id) + ADDRESS_BYTES + NEXT_ENTRY_BYTES;
+}
+
+static bool limit_falls(void) { return cfg->next_value_kb < cfg->value_kb; }
+static int page_bytes(double value_kb) { return (int)(value_kb * 1024 * PAGE_PART); }
+
+static int next_page_room(void) {
+    int names = NEXT_PAGE_BYTES;
+    for (int i = 0; i < cfg->n_zones; i++) names += (int)strlen(cfg->zones[i]) + 3;
+    return page_bytes(cfg->next_value_kb) - names;
+}
+
+static bool fill_fits(const struct page_fill *f) {
+    return f->present <= page_bytes(cfg->value_kb) - PAGE_BYTES && (!limit_falls() || f->next <= next_page_room());
+}
+
+/* The page that a machine is on, or will be once this round is written. */
+static int page_of(const struct machine *m) { return m->next_page >= 0 ? m->next_page : m->page; }
+
+static void fill_pages(int k, struct page_fill *pages) {
+    memset(pages, 0, RECORDS_PAGES * sizeof *pages);
     for (guint i = 0; i < of_share[k]->len; i++) {
         const struct machine *m = of_share[k]->pdata[i];
-        int p = m->page >= 0 ? m->page : m->next_page;
-        if (p >= 0 && p < RECORDS_PAGES) bytes[p] += (int)strlen(m->id) + 22 + ENTRY_BYTES;
+        int p = page_of(m);
+        if (p >= 0 && p < RECORDS_PAGES) fill_add(&pages[p], m->id, !m->dead);
     }
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, newcomers);
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         const struct records_newcomer *c = v;
-        if (c->share == k && c->page >= 0 && c->page < RECORDS_PAGES)
-            bytes[c->page] += (int)strlen(c->id) + 22 + ENTRY_BYTES;
+        if (c->share == k && c->page >= 0 && c->page < RECORDS_PAGES) fill_add(&pages[c->page], c->id, true);
+    }
+}
+
+int records_page_for(int k, const char *id) {
+    struct page_fill pages[RECORDS_PAGES];
+    fill_pages(k, pages);
+    for (int p = 0; p < RECORDS_PAGES; p++) {
+        bool empty = pages[p].present == 0;
+        fill_add(&pages[p], id, true);
+        if (empty || fill_fits(&pages[p])) return p;
     }
-    for (int p = 0; p < RECORDS_PAGES; p++)
-        if (bytes[p] == 0 || bytes[p] + need <= most) return p;
     return -1;
 }
 
+void records_large_pages(int k, bool *large) {
+    memset(large, 0, RECORDS_PAGES * sizeof *large);
+    if (!limit_falls()) return;
+    struct page_fill pages[RECORDS_PAGES];
+    fill_pages(k, pages);
+    for (int p = 0; p < RECORDS_PAGES; p++) large[p] = pages[p].next > next_page_room();
+}
+
+bool records_page_stale(int k, int page) { return stale[k][page]; }
+
 static int index_of(cJSON *list, GHashTable *known, const char *name) {
     gpointer at;
     if (g_hash_table_lookup_extended(known, name, NULL, &at)) return GPOINTER_TO_INT(at);
@@ -329,8 +386,11 @@
 struct page_lists {
     cJSON *skus, *sites, *images;
     GHashTable *sku, *site, *image;
+    int images_most; /* of an entry */
 };
 
+#define ENTRY_IMAGES 6 /* for who takes the machine over: a few are enough */
+
 static void add_entry(cJSON *list, struct page_lists *l, const char *id, const char *address, const char *sku,
                       const char *site, int flags, int64_t fence, double born, GHashTable *images) {
     char text[48] = "";
@@ -343,12 +403,12 @@
     cJSON_AddItemToArray(e, cJSON_CreateNumber((double)fence));
     cJSON_AddItemToArray(e, cJSON_CreateNumber((double)(int64_t)born));
     if (images) {
-        /* For who takes it over: a start where the image is needs no fetch. A few are enough. */
+        /* For who takes it over: a start where the image is needs no fetch. */
         GHashTableIter it;
         gpointer name;
         int n = 0;
         g_hash_table_iter_init(&it, images);
-        while (g_hash_table_iter_next(&it, &name, NULL) && n < 6) {
+        while (g_hash_table_iter_next(&it, &name, NULL) && n < l->images_most) {
             if (strlen(name) > 24 || (g_hash_table_size(l->image) >= 16 && !g_hash_table_contains(l->image, name)))
                 continue;
             size_t at = strlen(text);
@@ -359,19 +419,20 @@
     cJSON_AddItemToArray(list, e);
 }
 
-cJSON *records_page_value(int k, int page, int *count) {
+static cJSON *page_value(int k, int page, int images_most, int *count) {
     cJSON *o = cJSON_CreateObject(), *list = cJSON_CreateArray();
     struct page_lists l = {cJSON_AddArrayToObject(o, "sku"),
                            cJSON_AddArrayToObject(o, "site"),
                            cJSON_AddArrayToObject(o, "img"),
                            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
                            g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
-                           g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL)};
+                           g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
+                           images_most};
     cJSON_AddItemToObject(o, "m", list);
     *count = 0;
     for (guint i = 0; i < of_share[k]->len; i++) {
         const struct machine *m = of_share[k]->pdata[i];
-        if ((m->page != page && m->next_page != page) || m->leave || m->dead) continue;
+        if (page_of(m) != page || m->leave || m->dead) continue;
         add_entry(list, &l, m->id, m->address, m->sku, m->site, m->spot + (m->returning || m->want_return ? 2 : 0),
                   MAX(m->fence, m->next_fence), m->born, m->images);
         (*count)++;
@@ -391,6 +452,20 @@
     return o;
 }
 
+cJSON *records_page_value(int k, int page, int *count) {
+    cJSON *value = page_value(k, page, ENTRY_IMAGES, count);
+    /* Images are only a help: they go before the page outgrows the next limit. */
+    for (int images = ENTRY_IMAGES / 2; limit_falls() && images >= 0; images = images > 0 ? images / 2 : -1) {
+        char *text = cJSON_PrintUnformatted(value);
+        bool fits = strlen(text) <= (size_t)page_bytes(cfg->next_value_kb);
+        free(text);
+        if (fits) break;
+        cJSON_Delete(value);
+        value = page_value(k, page, images, count);
+    }
+    return value;
+}
+
 cJSON *records_single_value(const struct machine *m, int share, int64_t fence) {
     cJSON *o = cJSON_CreateObject();
     cJSON_AddNumberToObject(o, "share", share);
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -92,7 +92,8 @@
     int64_t next; /* counter of attempts under this fence */
     bool barrier; /* a transaction's outcome is unknown: nothing more before the share's stamp has moved */
     struct timespec since, passed, tidied;
-    struct timespec alarm; /* when a machine last failed to answer for the first time */
+    struct timespec apart_until; /* until then a transaction holds one record: one was refused as malformed */
+    struct timespec alarm;       /* when a machine last failed to answer for the first time */
     bool fit_nowhere;
 };
 extern struct records_share records_shares[RECORDS_SHARES];
@@ -127,6 +128,11 @@
  * a newcomer's page. */
 cJSON *records_page_value(int k, int page, int *count);
 int records_page_for(int k, const char *id); /* a page with room for one more */
+/* The pages that could not be rewritten under the service's next limit. Their machines are written to others, a page of
+ * them at a time: a later record moves a machine whatever an older one says, so that no step leaves it on none, whoever
+ * reads what in between. A page is rewritten once the rest has room, and is stale until then. */
+void records_large_pages(int k, bool *large);
+bool records_page_stale(int k, int page);
 cJSON *records_single_value(const struct machine *m, int share, int64_t fence);
 bool records_refused(void); /* the store holds records of a layout that is not ours to read */
 #endif
--- a/src/records/records_test.c
+++ b/src/records/records_test.c
@@ -4,7 +4,9 @@
 
 #include "../../tests/standin/site.h"
 #include "bookings/bookings.h"
+#include "chains/chains.h"
 #include "cloud/cloud.h"
+#include "format/format.h"
 #include "membership/membership.h"
 #include "rounds/rounds.h"
 #include "workers/workers.h"
@@ -235,6 +237,8 @@
     store_init(&cfg);
     membership_init(&cfg);
     jobs_init(&cfg);
+    chains_init(&cfg);
+    format_init(&cfg);
     cloud_init(&cfg);
     records_init(&cfg);
     bookings_init(&cfg);
--- a/src/renting/renting.c
+++ b/src/renting/renting.c
@@ -114,7 +114,7 @@
     struct job *like = NULL;
     for (guint i = 0; i < order->len && !like; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        if (j->spec.shape == JOB_GROUP && !j->spec.reclaimable && base_time_of_day() - j->submitted < SPARE_S) like = j;
+        if (j->spec.shape == JOB_GROUP && !j->spec.reclaimable && base_time_of_day() - j->ready < SPARE_S) like = j;
     }
     int whole = 0;
     for (guint y = 0; y < vms->len; y++) {
@@ -237,7 +237,7 @@
             memset(&o, 0, sizeof o);
             if (!taken && have + fresh < cap && choose(k, j, want, dear, &o)) {
                 static const int weights[] = {1, 2, 6, 8};
-                add_order(vms, &o, weights[j->spec.rank]);
+                add_order(vms, &o, weights[j->rank]);
                 fresh++;
                 if (j->spec.reclaimable && cloud_flavour(o.sku)) slots += cloud_flavour(o.sku)->gpus;
                 renting_vm_takes(&g_array_index(vms, struct renting_vm, vms->len - 1), j, want);
--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "../bookings/bookings.h"
+#include "../chains/chains.h"
 #include "../cloud/cloud.h"
 #include "../ledger/ledger.h"
 #include "../membership/membership.h"
@@ -30,6 +31,7 @@
     int left;        /* changes that the budget allows */
     int64_t first;   /* attempts above this one are this round's */
     bool more;
+    bool apart; /* one record a transaction: the service has refused one of them lately */
 };
 
 static void txn_free(gpointer p) {
@@ -41,7 +43,8 @@
 
 static struct store_txn *round_txn(struct round *r, int writes, int conds) {
     struct store_txn *t = r->txns->len ? r->txns->pdata[r->txns->len - 1] : NULL;
-    if (!t || t->writes + writes > cfg->txn_ops || cJSON_GetArraySize(t->conds) + conds > cfg->txn_ops * 4) {
+    if (!t || (r->apart && t->writes > 0) || t->writes + writes > cfg->txn_ops ||
+        cJSON_GetArraySize(t->conds) + conds > cfg->txn_ops * 4) {
         t = g_new0(struct store_txn, 1);
         store_txn_init(t);
         char key[32];
@@ -97,10 +100,10 @@
  * that, and so on. In an overload work that can't be in time any more steps back behind work that can, instead of
  * making all late one after the other; it comes first again when its next time draws near. */
 static double due_of(const struct job *j, double now) {
-    double age = now - j->submitted, last = 0;
+    double age = now - j->ready, last = 0;
     /* Late or large work must not step back for ever: what nothing of has begun for this long goes first in its rank.
      */
-    if (age > WAIT_BOUND && j->bookings->len == 0 && j->n_pend == 0) return j->submitted;
+    if (age > WAIT_BOUND && j->bookings->len == 0 && j->n_pend == 0) return j->ready;
     for (double after = 0;;) {
         double next = -1;
         for (int i = 0; i < cfg->n_objectives; i++) {
@@ -110,19 +113,19 @@
                 next = o->within_s;
         }
         if (next < 0) break;
-        if (age + j->spec.runtime_s <= next) return j->submitted + next;
+        if (age + j->spec.runtime_s <= next) return j->ready + next;
         after = last = next;
     }
-    if (last <= 0) return j->submitted + settings_within(cfg, AIM_WAIT, j->spec.jobclass, 0);
+    if (last <= 0) return j->ready + settings_within(cfg, AIM_WAIT, j->spec.jobclass, 0);
     double d = last * 2;
     while (age + j->spec.runtime_s > d) d *= 2;
-    return j->submitted + d;
+    return j->ready + d;
 }
 
 static int rank_order(gconstpointer a, gconstpointer b) {
     const struct rounds_ranked *x = a, *y = b;
     if (x->within != y->within) return x->within ? -1 : 1;
-    if (x->j->spec.rank != y->j->spec.rank) return x->j->spec.rank > y->j->spec.rank ? -1 : 1;
+    if (x->j->rank != y->j->rank) return x->j->rank > y->j->rank ? -1 : 1;
     if (x->due != y->due) return x->due < y->due ? -1 : 1;
     return strcmp(x->j->spec.uid, y->j->spec.uid);
 }
@@ -137,7 +140,7 @@
     GPtrArray *jobs = jobs_active_of(k);
     for (guint i = 0; i < jobs->len; i++) {
         struct job *j = jobs->pdata[i];
-        if (j->spec.team < 0) continue;
+        if (j->spec.team < 0 || chains_waits(j)) continue;
         const struct settings_team *t = &cfg->teams[j->spec.team];
         int left = j->spec.tasks - j->n_pend;
         cpu[j->spec.team] += left * j->spec.vcpus;
@@ -145,7 +148,7 @@
         struct rounds_ranked r = {j,
                                   rounds_has_guarantee(t) && (t->cpus <= 0 || cpu[j->spec.team] <= t->cpus + 1e-6) &&
                                       (t->gpus <= 0 || gpu[j->spec.team] <= t->gpus + 1e-6),
-                                  due_of(j, now)};
+                                  MIN(due_of(j, now), j->deadline)};
         g_array_append_val(out, r);
     }
     g_array_sort(out, rank_order);
@@ -251,8 +254,8 @@
 
 /* A chunk's record has room for the entry, however long the names are. */
 static bool record_full(const struct job *j, int in_chunk, const struct machine *m) {
-    double bits = j->spec.tasks < bookings_chunk() ? j->spec.tasks / 4.0 : bookings_chunk() / 4.0;
-    return (in_chunk + 1) * ((double)strlen(m->id) + 15) + bits + 64 > cfg->value_kb * 1024;
+    double bits = MIN(j->spec.tasks, bookings_write_stretch(j)) / 4.0;
+    return (in_chunk + 1) * ((double)strlen(m->id) + 15) + bits + 64 > bookings_value_most();
 }
 
 #define PLANS_MOST 600
@@ -260,7 +263,7 @@
 /* Arrays and services, task by task. True if a task found no place. */
 static bool plan_tasks(struct round *r, struct job *j, bool within, int missing, GPtrArray *mine, GPtrArray *room,
                        const struct placement_rules *rules, struct preempt_usage *u) {
-    int size = bookings_chunk(), chunk = -1, in_chunk = 0;
+    int size = bookings_write_stretch(j), chunk = -1, in_chunk = 0;
     uint8_t *busy = g_malloc0((gsize)j->spec.tasks / 8 + 1);
     memcpy(busy, j->pend, (gsize)j->spec.tasks / 8 + 1);
     for (guint b = 0; b < j->bookings->len; b++) {
@@ -276,8 +279,7 @@
             break;
         }
         struct machine *m = placement_pick(room, j, NULL, rules, r->plans);
-        if ((!m || preempt_fetch_too_slow(j, m)) && (within || j->spec.rank > RANK_IDLE) &&
-            base_since(j->preempted) > 3) {
+        if ((!m || preempt_fetch_too_slow(j, m)) && (within || j->rank > RANK_IDLE) && base_since(j->preempted) > 3) {
             bool any = false;
             for (int w = 0; w < missing && w < 32; w++) {
                 if (!preempt_for(j, within, mine, NULL, u)) break;
@@ -327,7 +329,7 @@
                 placement_take(m, &j->spec, 1);
         }
         /* Only if all of it gets room by that: a gang that lacks one place runs as little as one that lacks all. */
-        if ((within || j->spec.rank > RANK_IDLE) && with >= j->spec.tasks && base_since(j->preempted) > 3) {
+        if ((within || j->rank > RANK_IDLE) && with >= j->spec.tasks && base_since(j->preempted) > 3) {
             bool any = false;
             for (int t = (int)kept; t < j->spec.tasks; t++) any |= preempt_for(j, within, mine, zone, u);
             if (any) j->preempted = base_now();
@@ -415,80 +417,172 @@
     g_ptr_array_free(room, TRUE);
 }
 
+/* Keys whose write the service has refused as malformed, until when they are left alone: repeated unchanged it would be
+ * refused again, and what else is to be written must not wait for it. */
+static GHashTable *refused_until;
+#define REFUSED_S 5.0
+
+static bool refused_lately(const char *key) {
+    const struct timespec *until = g_hash_table_lookup(refused_until, key);
+    return until && base_since(*until) < 0;
+}
+
+static void note_refused(const struct store_txn *t) {
+    const cJSON *op;
+    cJSON_ArrayForEach(op, t->ops) {
+        const char *key = base_str(op, "set") ? base_str(op, "set") : base_str(op, "remove");
+        struct timespec *until = g_new0(struct timespec, 1);
+        *until = base_wall_in(base_span(REFUSED_S));
+        g_hash_table_replace(refused_until, g_strdup(key), until);
+    }
+}
+
+/* A change of a job's record of bookings, or its removal where nothing is to be kept. */
+static void add_run(struct store_txn *t, const struct job *j, int chunk, cJSON *value) {
+    char key[128];
+    /* Not if the job was cancelled meanwhile, and not over a newer record: a transaction whose answer was lost, or a
+     * second copy of one that the connection's end made the client send again, may be carried out after later ones of
+     * ours. */
+    snprintf(key, sizeof key, "job/%s", j->spec.uid);
+    store_txn_if(t, key, store_stamp(key));
+    bookings_key(j, chunk, key, sizeof key);
+    store_txn_if(t, key, store_stamp(key));
+    if (value)
+        store_txn_set(t, key, value, 0);
+    else
+        store_txn_remove(t, key);
+}
+
+/* Writes all records of a job in a new stretch, in one transaction: each names it, and one with nothing to keep stands
+ * as well, so that what the old records said of its tasks is replaced. */
+static void write_new_stretch(struct round *r, struct job *j, int stretch) {
+    int chunks = bookings_chunks_of(j, stretch);
+    struct store_txn *t = round_txn(r, chunks, chunks + 1);
+    for (int c = 0; c < chunks; c++) {
+        cJSON *value = bookings_value(j, c, stretch, r->plans, false);
+        if (!value) {
+            value = cJSON_CreateObject();
+            cJSON_AddNumberToObject(value, "n", stretch);
+        }
+        add_run(t, j, c, value);
+    }
+}
+
+/* Whether anything of the job is to be kept on record. */
+static bool keeps_bookings(const struct round *r, const struct job *j) {
+    if (bookings_count(j) > 0 || (j->state == JOB_QUEUED && j->n_pend > 0)) return true;
+    for (guint i = 0; i < r->plans->len; i++)
+        if (g_array_index(r->plans, struct placement_plan, i).j == j) return true;
+    return false;
+}
+
 /* Writes what is known of a job: completions, bookings that came and went, done tasks. */
 static void write_job(struct round *r, struct job *j) {
     bool final = jobs_complete(j);
     char key[128];
+    snprintf(key, sizeof key, "run/%s/0", j->spec.uid);
+    if (refused_lately(key)) return;
+    int stretch = bookings_write_stretch(j);
+    if (j->n_runs == 0) jobs_set_stretch(j, stretch);
+    if (stretch != bookings_stretch(j) && !final && keeps_bookings(r, j)) {
+        write_new_stretch(r, j, stretch);
+        return;
+    }
+    stretch = bookings_stretch(j);
     int chunks = bookings_chunks(j);
     uint8_t *need = g_malloc0((gsize)chunks + 1);
     for (int c = 0; j->runs && c < chunks; c++) need[c] = (j->runs[c] & 2) != 0 || (final && (j->runs[c] & 1));
     for (guint i = 0; i < r->plans->len; i++) {
         const struct placement_plan *p = &g_array_index(r->plans, struct placement_plan, i);
-        if (p->j == j) need[p->task / bookings_chunk()] = 2;
+        if (p->j == j) need[p->task / stretch] = 2;
     }
-    struct store_txn *t = NULL;
     snprintf(key, sizeof key, "job/%s", j->spec.uid);
-    if (final) {
-        t = round_txn(r, 2, 1);
+    if (final && !refused_lately(key)) {
+        struct store_txn *t = round_txn(r, 2, 1);
         store_txn_if(t, key, store_stamp(key));
-        store_txn_set(t, key, jobs_value(j->spec_text, "done", j->submitted), 0);
+        store_txn_set(t, key, jobs_final_value(j, JOB_DONE), 0);
         r->left++; /* the second was room for a chunk's record beside it */
     }
     for (int c = 0; c < chunks && (r->left > 0 || c == 0); c++) {
         if (!need[c]) continue;
-        cJSON *v = bookings_value(j, c, r->plans, final);
+        cJSON *v = bookings_value(j, c, stretch, r->plans, final);
         bool there = j->runs && (j->runs[c] & 1), same = need[c] == 1 && !final && !bookings_differ(j, c);
         if ((!v && !there) || same) {
             cJSON_Delete(v);
             jobs_run_record(j, c, there);
             continue;
         }
-        t = round_txn(r, 1, 2);
-        /* Not if the job was cancelled meanwhile, and not over a newer record: a transaction whose answer was lost, or
-         * a second copy of one that the connection's end made the client send again, may be carried out after later
-         * ones of ours. */
-        snprintf(key, sizeof key, "job/%s", j->spec.uid);
-        store_txn_if(t, key, store_stamp(key));
-        bookings_key(j, c, key, sizeof key);
-        store_txn_if(t, key, store_stamp(key));
-        if (v)
-            store_txn_set(t, key, v, 0);
-        else
-            store_txn_remove(t, key);
+        add_run(round_txn(r, 1, 2), j, c, v);
     }
     g_free(need);
 }
 
-/* The pages of the share's machines. Raises and passings move the fence in the same transaction. */
-static void write_pages(struct round *r, int k) {
-    enum { LATER = 1, NOW = 2, RAISE = 4 };
-    uint8_t need[RECORDS_PAGES] = {0};
-    char key[96];
-    GHashTableIter it;
-    gpointer v;
-    int n = 0, fence_writes = 1;
-    int64_t fence = membership_fence() + 1;
-    bool raised = false;
+/* What is to be done with each page of a share in a round. */
+enum { PAGE_LATER = 1, PAGE_NOW = 2, PAGE_RAISE = 4 };
+struct page_plan {
+    uint8_t need[RECORDS_PAGES];
+    bool large[RECORDS_PAGES]; /* can't be rewritten under the service's next limit */
+    int64_t fence;             /* the token of machines that are raised */
+    int raise_writes;          /* changes of the transaction that raises; the fence is one */
+    bool raised;
+};
+
+#define MOVES_PAGES 2 /* pages that a round fills with machines of large ones */
+
+/* Gives machines of large pages a place on others, those first that are to be changed. */
+static void move_from_large(int k, struct page_plan *p, bool tidy) {
+    bool opened[RECORDS_PAGES] = {false};
+    int pages = 0;
+    for (int urgent = 1; urgent >= (tidy ? 0 : 1); urgent--)
+        for (guint i = 0; i < records_of(k)->len; i++) {
+            struct machine *m = records_of(k)->pdata[i];
+            if (m->page < 0 || m->page >= RECORDS_PAGES || !p->large[m->page] || m->next_page >= 0) continue;
+            bool change = m->need_raise || (m->want_return && !m->returning) || m->pass_to >= 0;
+            if (m->dead || (urgent && !change)) continue;
+            int to = records_page_for(k, m->id);
+            if (to < 0 || (!opened[to] && pages == MOVES_PAGES)) return;
+            pages += !opened[to];
+            opened[to] = true;
+            m->next_page = to;
+            p->need[to] |= PAGE_NOW;
+        }
+}
+
+/* A machine that came from another share, or whose record is to change. */
+static void plan_machine(struct machine *m, struct page_plan *p) {
+    int page = m->next_page >= 0 ? m->next_page : m->page;
+    if (page < 0 || page >= RECORDS_PAGES || p->large[page]) return;
+    bool pass = passing_allowed(m);
+    if (pass || m->need_raise) {
+        int writes = pass + ((p->need[page] & PAGE_RAISE) == 0);
+        if (p->raise_writes + writes <= cfg->txn_ops) {
+            p->raise_writes += writes;
+            m->next_fence = p->fence;
+            m->leave = pass;
+            p->raised = true;
+            p->need[page] |= PAGE_RAISE;
+        }
+    }
+    if (m->want_return && !m->returning) p->need[page] |= PAGE_NOW;
+    if (m->dead || m->unwritten) p->need[page] |= PAGE_LATER;
+}
+
+static void plan_machines(int k, struct page_plan *p) {
+    int incoming = 0;
     for (guint i = 0; i < records_of(k)->len; i++) {
         struct machine *m = records_of(k)->pdata[i];
-        if (m->page >= RECORDS_PAGES) continue;
-        if (m->page < 0) { /* came from another share */
-            if (n++ < cfg->txn_ops / 2 && (m->next_page = records_page_for(k, m->id)) >= 0) need[m->next_page] |= NOW;
+        if (m->page >= 0) {
+            plan_machine(m, p);
             continue;
         }
-        bool pass = passing_allowed(m);
-        if (pass || m->need_raise) {
-            int writes = pass + ((need[m->page] & RAISE) == 0);
-            if (fence_writes + writes > cfg->txn_ops) continue;
-            fence_writes += writes;
-            m->next_fence = fence;
-            m->leave = pass;
-            raised = true;
-            need[m->page] |= RAISE;
-        }
-        if (m->want_return && !m->returning) need[m->page] |= NOW;
-        if (m->dead || m->unwritten) need[m->page] |= LATER;
+        if (incoming++ < cfg->txn_ops / 2 && (m->next_page = records_page_for(k, m->id)) >= 0)
+            p->need[m->next_page] |= PAGE_NOW;
     }
+}
+
+static void plan_newcomers(int k, struct page_plan *p) {
+    GHashTableIter it;
+    gpointer v;
     g_hash_table_iter_init(&it, records_newcomers());
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct records_newcomer *c = v;
@@ -497,54 +591,78 @@
     g_hash_table_iter_init(&it, records_newcomers());
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct records_newcomer *c = v;
-        if (c->share == k && (c->page = records_page_for(k, c->id)) >= 0) need[c->page] |= NOW;
+        if (c->share == k && (c->page = records_page_for(k, c->id)) >= 0) p->need[c->page] |= PAGE_NOW;
     }
-    bool tidy = base_since(records_shares[k].tidied) > 2;
-    if (tidy) records_shares[k].tidied = base_now();
-    if (raised) {
-        struct store_txn *t = round_txn(r, cfg->txn_ops, 3); /* a transaction of its own */
-        r->left += cfg->txn_ops - fence_writes;
-        store_txn_if(t, "fence", store_stamp("fence"));
-        store_txn_set(t, "fence", cJSON_CreateNumber((double)fence), 0);
-        for (int p = 0; p < RECORDS_PAGES; p++) {
-            if (!(need[p] & RAISE)) continue;
-            snprintf(key, sizeof key, "fleet/%d/%d", k, p);
-            cJSON *page = records_page_value(k, p, &n);
-            store_txn_if(t, key, store_stamp(key));
-            store_txn_set(t, key, page, 0);
-            need[p] = 0;
-        }
-        for (guint i = 0; i < records_of(k)->len; i++) {
-            struct machine *m = records_of(k)->pdata[i];
-            if (!m->leave) continue;
-            snprintf(key, sizeof key, "machine/%s", m->id);
-            store_txn_if(t, key, 0);
-            store_txn_set(t, key, records_single_value(m, m->pass_to, fence), 0);
-        }
+}
+
+/* Raises and passings move the fence in the same transaction, which is one of their own. */
+static void write_raises(struct round *r, int k, struct page_plan *p) {
+    char key[96];
+    int n;
+    struct store_txn *t = round_txn(r, cfg->txn_ops, 3);
+    r->left += cfg->txn_ops - p->raise_writes;
+    store_txn_if(t, "fence", store_stamp("fence"));
+    store_txn_set(t, "fence", cJSON_CreateNumber((double)p->fence), 0);
+    for (int page = 0; page < RECORDS_PAGES; page++) {
+        if (!(p->need[page] & PAGE_RAISE)) continue;
+        snprintf(key, sizeof key, "fleet/%d/%d", k, page);
+        store_txn_if(t, key, store_stamp(key));
+        store_txn_set(t, key, records_page_value(k, page, &n), 0);
+        p->need[page] = 0;
+    }
+    for (guint i = 0; i < records_of(k)->len; i++) {
+        struct machine *m = records_of(k)->pdata[i];
+        if (!m->leave) continue;
+        snprintf(key, sizeof key, "machine/%s", m->id);
+        store_txn_if(t, key, 0);
+        store_txn_set(t, key, records_single_value(m, m->pass_to, p->fence), 0);
     }
-    for (int p = 0; p < RECORDS_PAGES && r->left > 0; p++) {
-        if (!(need[p] & NOW) && !(need[p] & LATER && tidy)) continue;
-        int incoming = 0;
-        for (guint i = 0; i < records_of(k)->len; i++)
-            incoming += ((struct machine *)records_of(k)->pdata[i])->next_page == p;
-        if (1 + incoming > cfg->txn_ops) continue;
-        struct store_txn *t = round_txn(r, 1 + incoming, 2 + incoming);
-        snprintf(key, sizeof key, "fleet/%d/%d", k, p);
+}
+
+/* Comes from another share, to this page: its own record goes with the write. */
+static bool arrives_at(const struct machine *m, int page) { return m->page < 0 && m->next_page == page; }
+
+static void write_page(struct round *r, int k, int page) {
+    char key[96];
+    int incoming = 0, n;
+    for (guint i = 0; i < records_of(k)->len; i++) incoming += arrives_at(records_of(k)->pdata[i], page);
+    snprintf(key, sizeof key, "fleet/%d/%d", k, page);
+    if (1 + incoming > cfg->txn_ops || refused_lately(key)) return;
+    struct store_txn *t = round_txn(r, 1 + incoming, 2 + incoming);
+    store_txn_if(t, key, store_stamp(key));
+    cJSON *value = records_page_value(k, page, &n);
+    if (n > 0) {
+        store_txn_set(t, key, value, 0);
+    } else {
+        cJSON_Delete(value);
+        store_txn_remove(t, key);
+    }
+    for (guint i = 0; i < records_of(k)->len; i++) {
+        struct machine *m = records_of(k)->pdata[i];
+        if (!arrives_at(m, page)) continue;
+        snprintf(key, sizeof key, "machine/%s", m->id);
         store_txn_if(t, key, store_stamp(key));
-        cJSON *page = records_page_value(k, p, &n);
-        if (n > 0) {
-            store_txn_set(t, key, page, 0);
-        } else {
-            cJSON_Delete(page);
-            store_txn_remove(t, key);
-        }
-        for (guint i = 0; i < records_of(k)->len; i++) {
-            struct machine *m = records_of(k)->pdata[i];
-            if (m->next_page != p) continue;
-            snprintf(key, sizeof key, "machine/%s", m->id);
-            store_txn_if(t, key, store_stamp(key));
-            store_txn_remove(t, key);
-        }
+        store_txn_remove(t, key);
+    }
+}
+
+#define TIDY_S 2 /* between writes of what can wait */
+
+/* The pages of the share's machines. */
+static void write_pages(struct round *r, int k) {
+    struct page_plan p = {.fence = membership_fence() + 1, .raise_writes = 1};
+    bool tidy = base_since(records_shares[k].tidied) > TIDY_S;
+    if (tidy) records_shares[k].tidied = base_now();
+    records_large_pages(k, p.large);
+    move_from_large(k, &p, tidy);
+    plan_machines(k, &p);
+    plan_newcomers(k, &p);
+    for (int page = 0; page < RECORDS_PAGES; page++)
+        if (records_page_stale(k, page)) p.need[page] |= PAGE_LATER;
+    if (p.raised) write_raises(r, k, &p);
+    for (int page = 0; page < RECORDS_PAGES && r->left > 0; page++) {
+        bool due = p.need[page] & PAGE_NOW || (p.need[page] & PAGE_LATER && tidy);
+        if (due && !p.large[page]) write_page(r, k, page);
     }
 }
 
@@ -560,6 +678,7 @@
     r->plans = g_array_new(FALSE, FALSE, sizeof(struct placement_plan));
     r->txns = g_ptr_array_new_with_free_func(txn_free);
     r->left = left;
+    r->apart = base_since(records_shares[k].apart_until) < 0;
     /* With nothing left of the budget there is nothing to decide: the more has gathered, the more the next carries. */
     if (left >= 2) plan_round(r);
     return r;
@@ -619,10 +738,9 @@
 
 static void apply_written(const struct round *r, const struct store_txn *t, int64_t epoch) {
     const cJSON *x;
+    store_apply_written(t, epoch);
     cJSON_ArrayForEach(x, t->ops) {
-        const char *set = base_str(x, "set"), *gone_key = base_str(x, "remove");
-        if (set) store_apply(set, cJSON_GetObjectItemCaseSensitive(x, "data"), epoch);
-        if (gone_key) store_apply(gone_key, NULL, epoch);
+        const char *set = base_str(x, "set");
         if (!set || !g_str_has_prefix(set, "run/")) continue;
         char uid[64];
         g_strlcpy(uid, set + 4, MIN(sizeof uid, strcspn(set + 4, "/") + 1));
@@ -661,7 +779,7 @@
     bool ok = false;
     if (mine && store_multi(c, STORE_BOOK, &t, &a) == STORE_OK) {
         store_lock();
-        store_apply(key, cJSON_GetObjectItemCaseSensitive(cJSON_GetArrayItem(t.ops, 0), "data"), a.epoch);
+        store_apply_written(&t, a.epoch);
         store_unlock();
         store_nudge();
         ok = true;
@@ -712,13 +830,18 @@
                     store_refresh(c, a.failed->pdata[f]);
             store_nudge();
             again = true;
-        } else if (rc == STORE_UNKNOWN || rc == STORE_BAD) {
+        } else if (rc == STORE_BAD) {
+            /* Surely not executed. What it held is written apart from other work from now on, and not at once again. */
+            if (r->apart || t->writes == 1) note_refused(t);
+            records_shares[k].apart_until = base_wall_in(base_span(2 * REFUSED_S));
+            again = true;
+        } else if (rc == STORE_UNKNOWN) {
             records_shares[k].barrier = true;
         }
         store_answer_clear(&a);
         /* A conflict is one transaction's own: a fence that all controllers move once kept a share from booking
          * anything for minutes, because what stood behind the raise was dropped with it. */
-        if (rc != STORE_OK && rc != STORE_CONFLICT) break;
+        if (rc != STORE_OK && rc != STORE_CONFLICT && rc != STORE_BAD) break;
     }
     workers_kick();
     again |= (r && r->more) || (mine && left < 2);
@@ -765,6 +888,7 @@
 void rounds_init(const struct settings *s) {
     cfg = s;
     base_bell_init(&bell);
+    refused_until = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void rounds_start(void) { base_thread(rounds_main, NULL); }
--- a/src/service/service.c
+++ b/src/service/service.c
@@ -5,7 +5,9 @@
 #include <sys/resource.h>
 
 #include "../bookings/bookings.h"
+#include "../chains/chains.h"
 #include "../cloud/cloud.h"
+#include "../format/format.h"
 #include "../jobs/jobs.h"
 #include "../ledger/ledger.h"
 #include "../membership/membership.h"
@@ -16,6 +18,7 @@
 #include "../renting/renting.h"
 #include "../rounds/rounds.h"
 #include "../store/store.h"
+#include "../users/users.h"
 #include "../watch/watch.h"
 #include "../workers/workers.h"
 
@@ -36,15 +39,18 @@
         http_reply(r, up ? 200 : 503, NULL, up ? 0 : 1);
         return;
     }
-    if (workers_route(r) || jobs_route(r)) return;
+    if (workers_route(r) || users_route(r)) return;
     http_reply(r, 404, "{\"error\":\"no such path\"}", 0);
 }
 
 void service_init(const struct settings *s) {
     store_init(s);
     membership_init(s);
+    format_init(s);
     peers_init(s);
     jobs_init(s);
+    users_init(s);
+    chains_init(s);
     workers_init(s);
     cloud_init(s);
     records_init(s);
@@ -69,7 +75,8 @@
 
 bool service_start(const struct settings *s) {
     raise_open_files(s->sockets);
-    jobs_start();
+    users_start();
+    chains_start();
     if (!http_serve(s->bind, (unsigned)s->sockets * 3 / 4, on_request, NULL) || !peers_start()) return false;
     store_mirror_start();
     membership_start();
@@ -84,7 +91,7 @@
     unsigned now = store_budget_used();
     int answers;
     double median, p95;
-    jobs_latency(&answers, &median, &p95);
+    users_latency(&answers, &median, &p95);
     store_lock();
     log_info(
         "status: %u unfinished jobs, %u machines, store %.1f calls/s, store seen %.1f s ago, %d answers to users "
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -75,6 +75,26 @@
     }
 }
 
+/* A limit of `state.next`, which may be left out; the smaller of it and the present one. */
+static double next_limit(struct reader *r, const cJSON *next, const char *name, double least, double present) {
+    const cJSON *given = cJSON_GetObjectItemCaseSensitive(next, name);
+    if (!given || cJSON_IsNull(given)) return present;
+    return MIN(present, need_num(r, next, "settings.state.next.", name, least, 1e6));
+}
+
+static void read_state_limits(struct reader *r, const cJSON *state, struct settings *s) {
+    s->state_rps = need_num(r, state, "settings.state.", "rps", 1, 1e6);
+    s->state_write_rps = need_num(r, state, "settings.state.", "write_rps", 1, 1e6);
+    s->value_kb = need_num(r, state, "settings.state.", "value_kb", 1, 1e6);
+    s->txn_ops = (int)need_num(r, state, "settings.state.", "txn_ops", 2, 10000);
+    const cJSON *next = cJSON_GetObjectItemCaseSensitive(state, "next");
+    if (next && !cJSON_IsNull(next) && !cJSON_IsObject(next)) fail(r, "settings.state.next", "an object is needed");
+    s->state_rps = next_limit(r, next, "rps", 1, s->state_rps);
+    s->state_write_rps = next_limit(r, next, "write_rps", 1, s->state_write_rps);
+    s->next_value_kb = next_limit(r, next, "value_kb", 1, s->value_kb);
+    s->txn_ops = (int)next_limit(r, next, "txn_ops", 2, s->txn_ops);
+}
+
 bool settings_parse(const char *json, const char *name, struct settings *s, char *err, size_t errlen) {
     struct reader r = {name, err, errlen, true};
     memset(s, 0, sizeof *s);
@@ -138,11 +158,7 @@
     s->cancel = base_span(need_num(&r, w, "settings.workers.", "cancel_s", 0.1, 86400));
     if (r.ok && base_secs(s->cancel) <= base_secs(s->lease))
         fail(&r, "settings.workers.cancel_s", "must be above lease_s");
-    const cJSON *st = cJSON_GetObjectItemCaseSensitive(p, "state");
-    s->state_rps = need_num(&r, st, "settings.state.", "rps", 1, 1e6);
-    s->state_write_rps = need_num(&r, st, "settings.state.", "write_rps", 1, 1e6);
-    s->value_kb = need_num(&r, st, "settings.state.", "value_kb", 1, 1e6);
-    s->txn_ops = (int)need_num(&r, st, "settings.state.", "txn_ops", 2, 10000);
+    read_state_limits(&r, cJSON_GetObjectItemCaseSensitive(p, "state"), s);
     const cJSON *c = cJSON_GetObjectItemCaseSensitive(p, "cloud");
     s->cloud_rps = need_num(&r, c, "settings.cloud.", "rps", 0.01, 1e6);
     s->list_lag = base_span(need_num(&r, c, "settings.cloud.", "list_lag_s", 0, 3600));
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -45,8 +45,13 @@
     struct settings_objective objectives[SETTINGS_OBJECTIVES];
     int n_objectives;
     struct timespec report, lease, gang_wait, gang_peer, cancel;
-    double state_rps, state_write_rps, value_kb;
+    /* The state service's limits. The service may lower them once, without notice, to those of `state.next`: rates and
+     * operations are the smaller of both, since they cost little from the start; a value may have the present size as
+     * long as the layout of the records needs it. */
+    double state_rps, state_write_rps;
     int txn_ops;
+    double value_kb;      /* at present */
+    double next_value_kb; /* after the change; never above value_kb */
     double cloud_rps;
     struct timespec list_lag;
     int sockets;
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -149,6 +149,21 @@
     return STORE_OK;
 }
 
+/* The service names no reason. What it may be is in the sizes: a value, or the number of operations. */
+static void log_bad(const struct store_txn *t) {
+    const cJSON *op;
+    GString *what = g_string_new("");
+    cJSON_ArrayForEach(op, t->ops) {
+        char *value = cJSON_PrintUnformatted(cJSON_GetObjectItemCaseSensitive(op, "data"));
+        const char *key = base_str(op, "set") ? base_str(op, "set") : base_str(op, "remove");
+        g_string_append_printf(what, " %s (%zu bytes)", key, value ? strlen(value) : 0);
+        free(value);
+    }
+    log_error("state service refuses a transaction as malformed: %d operations, %d conditions:%s", t->writes,
+              cJSON_GetArraySize(t->conds), what->str);
+    g_string_free(what, TRUE);
+}
+
 enum store_result store_multi(struct http_client *c, enum store_class cls, struct store_txn *t,
                               struct store_answer *a) {
     a->epoch = 0;
@@ -174,7 +189,7 @@
             r = STORE_UNKNOWN;
         }
     }
-    if (r == STORE_BAD) log_error("state service calls a transaction malformed: %.300s", body);
+    if (r == STORE_BAD) log_bad(t);
     free(body);
     cJSON_Delete(ans);
     return r;
@@ -274,15 +289,24 @@
     }
 }
 
+void store_apply_written(const struct store_txn *t, int64_t epoch) {
+    const cJSON *op;
+    cJSON_ArrayForEach(op, t->ops) {
+        const char *set = base_str(op, "set"), *removed = base_str(op, "remove");
+        if (set) store_apply(set, cJSON_GetObjectItemCaseSensitive(op, "data"), epoch);
+        if (removed) store_apply(removed, NULL, epoch);
+    }
+}
+
 int64_t store_stamp(const char *key) {
     struct stamp_row *row = g_hash_table_lookup(stamps, key);
     return row && !row->gone ? row->stamp : 0;
 }
 
-void store_refresh(struct http_client *c, const char *key) {
+bool store_refresh(struct http_client *c, const char *key) {
     cJSON *data;
     int64_t stamp, epoch;
-    if (store_get(c, key, &data, &stamp, &epoch) != STORE_OK) return;
+    if (store_get(c, key, &data, &stamp, &epoch) != STORE_OK) return false;
     store_lock();
     if (data)
         store_apply(key, data, stamp);
@@ -290,6 +314,7 @@
         store_apply(key, NULL, epoch);
     store_unlock();
     cJSON_Delete(data);
+    return true;
 }
 
 static gboolean sweep_gone(gpointer key, gpointer value, gpointer data) {
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -4,7 +4,8 @@
 #include "../base/base.h"
 #include "../settings/settings.h"
 
-/* What a transaction came to. REFUSED: surely not executed. UNKNOWN: may have been, or may yet be. */
+/* What a transaction came to. REFUSED: surely not executed. BAD: neither, and would not be if repeated as it is: a
+ * value or the transaction is above the service's limits. UNKNOWN: may have been, or may yet be. */
 enum store_result { STORE_OK, STORE_CONFLICT, STORE_REFUSED, STORE_BAD, STORE_UNKNOWN };
 
 /* In the order in which they may use the budget. */
@@ -40,10 +41,12 @@
 void store_lock(void);
 void store_unlock(void);
 void store_apply(const char *key, const cJSON *data, int64_t stamp); /* with the lock held */
-int64_t store_stamp(const char *key);                                /* with the lock held; 0: not there */
-void store_refresh(struct http_client *c, const char *key);          /* reads one key and applies it */
-int64_t store_epoch(void);            /* with the lock held: all changes up to it are in */
-bool store_ready(void);               /* with the lock held: read in full once */
+/* Applies what a transaction of ours has written. */
+void store_apply_written(const struct store_txn *t, int64_t epoch);
+int64_t store_stamp(const char *key);                       /* with the lock held; 0: not there */
+bool store_refresh(struct http_client *c, const char *key); /* reads one key and applies it; false: no answer */
+int64_t store_epoch(void);                                  /* with the lock held: all changes up to it are in */
+bool store_ready(void);                                     /* with the lock held: read in full once */
 struct timespec store_verified(void); /* with the lock held: when the last answered watch was sent */
 bool store_away(void);                /* with the lock held: no look at the store has succeeded lately */
 void store_mirror_start(void);
--- /dev/null
+++ b/src/users/users.c
@@ -0,0 +1,450 @@
+#include "users.h"
+
+#include <gsl/gsl_histogram.h>
+#include <math.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../chains/chains.h"
+#include "../cloud/cloud.h"
+#include "../membership/membership.h"
+#include "../peers/peers.h"
+
+static const struct settings *cfg;
+
+enum ask_kind { ASK_SUBMIT, ASK_POLL, ASK_CANCEL };
+struct ask {
+    enum ask_kind kind;
+    struct http_req *req;
+    char uid[64];
+    char *spec_text;
+    char **prerequisites;
+    unsigned refusal; /* 400, 422 or 503, unless the job is known; 0: none */
+    char why[128];
+    bool was_known; /* before the transaction that decides */
+    struct timespec came;
+};
+
+/* Two queues with a thread each, so that a burst of submissions does not hold up polls. */
+struct lane {
+    pthread_mutex_t lock;
+    pthread_cond_t cond;
+    GQueue *q;
+};
+static struct lane lanes[2];
+#define ASKS_MOST 400
+#define POLL_S 2.0 /* users wait no longer for the answer to a poll */
+
+static pthread_mutex_t latency_lock = PTHREAD_MUTEX_INITIALIZER;
+static gsl_histogram *latency; /* of log10 of milliseconds, from 0.1 ms to 100 s */
+
+static void note_latency(struct timespec came) {
+    double ms = MAX(base_since(came) * 1000, 0.11);
+    pthread_mutex_lock(&latency_lock);
+    gsl_histogram_increment(latency, MIN(log10(ms), 4.99));
+    pthread_mutex_unlock(&latency_lock);
+}
+
+static double quantile(double q) {
+    double want = q * gsl_histogram_sum(latency), seen = 0, lo, hi;
+    for (size_t i = 0; i < gsl_histogram_bins(latency); i++) {
+        seen += gsl_histogram_get(latency, i);
+        gsl_histogram_get_range(latency, i, &lo, &hi);
+        if (seen >= want) return pow(10, hi);
+    }
+    return 0;
+}
+
+void users_latency(int *answers, double *median_ms, double *p95_ms) {
+    pthread_mutex_lock(&latency_lock);
+    *answers = (int)gsl_histogram_sum(latency);
+    *median_ms = *answers ? quantile(0.5) : 0;
+    *p95_ms = *answers ? quantile(0.95) : 0;
+    gsl_histogram_reset(latency);
+    pthread_mutex_unlock(&latency_lock);
+}
+
+static void ask_free(struct ask *a) {
+    note_latency(a->came);
+    free(a->spec_text);
+    g_strfreev(a->prerequisites);
+    g_free(a);
+}
+
+static void reply_job(struct http_req *r, unsigned status, const char *uid, const char *state, int done, int running) {
+    char body[200];
+    snprintf(body, sizeof body, "{\"uid\":\"%s\",\"state\":\"%s\",\"done\":%d,\"running\":%d}", uid, state, done,
+             running);
+    http_reply(r, status, body, 0);
+}
+
+static void refuse(struct http_req *r, unsigned status, const char *why, int after) {
+    char body[256];
+    snprintf(body, sizeof body, "{\"error\":\"%s\"}", why);
+    http_reply(r, status, body, after);
+}
+
+/* Answers from the record, which the caller has just seen confirmed. Of a job that is to be cancelled with one that it
+ * needs nothing is told until that is written. */
+static void answer_known(struct ask *a, const struct job *j) {
+    int running;
+    if (chains_to_cancel(j)) {
+        refuse(a->req, 503, "a job that it needs is cancelled", 1);
+        return;
+    }
+    const char *s = jobs_state_name(j, &running);
+    reply_job(a->req, 200, a->uid, s, j->n_done, running);
+}
+
+static void push(int lane, struct ask *a) {
+    struct lane *l = &lanes[lane];
+    pthread_mutex_lock(&l->lock);
+    bool full = l->q->length >= ASKS_MOST;
+    if (!full) {
+        http_hold(a->req);
+        g_queue_push_tail(l->q, a);
+        pthread_cond_signal(&l->cond);
+    }
+    pthread_mutex_unlock(&l->lock);
+    if (full) {
+        refuse(a->req, 429, "too many requests wait here", 2);
+        ask_free(a);
+    }
+}
+
+/* 400 if the job's record would be larger than the service takes some day; names the field that takes most of it. */
+static unsigned check_size(const cJSON *spec, const char *spec_text, char *why, size_t n) {
+    if (jobs_record_bytes(spec_text) <= jobs_record_most()) return 0;
+    const cJSON *x;
+    const char *largest = "body";
+    size_t most = 0;
+    cJSON_ArrayForEach(x, spec) {
+        char *text = cJSON_PrintUnformatted(x);
+        size_t length = text ? strlen(text) : 0;
+        free(text);
+        if (length <= most) continue;
+        most = length;
+        largest = x->string;
+    }
+    snprintf(why, n, "%.40s: too long, a job's record may take %zu bytes", largest, jobs_record_most());
+    return 400;
+}
+
+static void on_submit(struct http_req *r) {
+    size_t len;
+    const char *body = http_body(r, &len);
+    struct job_spec spec;
+    char field[64] = "body", why[128] = "";
+    if (http_too_large(r)) {
+        refuse(r, 400, "body: above 64 KiB", 0);
+        return;
+    }
+    unsigned refusal = (unsigned)jobs_parse(body, len, cfg, &spec, field, sizeof field);
+    cJSON *o = cJSON_ParseWithLength(body, len);
+    const char *uid = base_str(o, "uid");
+    if (refusal) snprintf(why, sizeof why, "%s: missing or invalid", field);
+    if (refusal && !jobs_uid_ok(uid)) {
+        refuse(r, refusal, why, 0);
+        cJSON_Delete(o);
+        return;
+    }
+    /* An accepted job is known whatever its repetition looks like: a refusal waits until the store has shown that the
+     * id is nobody's. */
+    struct ask *a = g_new0(struct ask, 1);
+    a->kind = ASK_SUBMIT;
+    a->req = r;
+    a->came = base_now();
+    a->refusal = refusal;
+    g_strlcpy(a->uid, uid, sizeof a->uid);
+    store_lock();
+    struct job *j = jobs_find(a->uid);
+    bool terminal = j && j->known && j->state != JOB_QUEUED, known = j && j->known;
+    bool away = store_away(), ready = !away && (known || refusal || cloud_flavours_known());
+    if (terminal) answer_known(a, j);
+    if (!known && ready && !refusal)
+        a->refusal = (unsigned)jobs_feasible(&spec, cfg, cloud_flavours(), cloud_flavours_count(), why, sizeof why);
+    store_unlock();
+    a->prerequisites = spec.prerequisites;
+    spec.prerequisites = NULL;
+    jobs_spec_clear(&spec);
+    if (terminal) {
+        ask_free(a);
+    } else if (!ready) {
+        refuse(r, 503, away ? "the state service is out of reach" : "machine types are not known yet", away ? 2 : 1);
+        ask_free(a);
+    } else {
+        a->spec_text = cJSON_PrintUnformatted(o);
+        if (!a->refusal) a->refusal = check_size(o, a->spec_text, why, sizeof why);
+        g_strlcpy(a->why, why, sizeof a->why);
+        push(0, a);
+    }
+    cJSON_Delete(o);
+}
+
+bool users_route(struct http_req *r) {
+    const char *p = http_path(r), *m = http_method(r);
+    if (strcmp(p, "/work") == 0) {
+        if (strcmp(m, "POST") == 0)
+            on_submit(r);
+        else
+            refuse(r, 405, "method not allowed", 0);
+        return true;
+    }
+    if (strncmp(p, "/work/", 6) != 0) return false;
+    char uid[64];
+    const char *slash = strchr(p + 6, '/');
+    bool cancel = slash && strcmp(slash, "/cancel") == 0;
+    if ((slash && !cancel) || strlen(p + 6) >= sizeof uid + 7) {
+        refuse(r, 404, "no such path", 0);
+        return true;
+    }
+    g_strlcpy(uid, p + 6, slash ? MIN(sizeof uid, (size_t)(slash - p - 6) + 1) : sizeof uid);
+    if (strcmp(m, cancel ? "POST" : "GET") != 0) {
+        refuse(r, 405, "method not allowed", 0);
+        return true;
+    }
+    if (!jobs_uid_ok(uid)) {
+        refuse(r, 404, "no such job", 0);
+        return true;
+    }
+    struct ask *a = g_new0(struct ask, 1);
+    a->kind = cancel ? ASK_CANCEL : ASK_POLL;
+    a->req = r;
+    a->came = base_now();
+    g_strlcpy(a->uid, uid, sizeof a->uid);
+    store_lock();
+    struct job *j = jobs_find(uid);
+    bool terminal = j && j->known && j->state != JOB_QUEUED, ready = !store_away();
+    bool to_write = cancel || (j && chains_to_cancel(j));
+    if (terminal) answer_known(a, j);
+    store_unlock();
+    if (terminal) {
+        ask_free(a);
+    } else if (!ready) {
+        /* At once: asking a store that is out of reach would only use up the time that the user waits. */
+        refuse(r, 503, "the state service is out of reach", 2);
+        ask_free(a);
+    } else {
+        push(to_write ? 0 : 1, a);
+    }
+    return true;
+}
+
+static void gather(struct lane *l, GPtrArray *batch, guint most) {
+    pthread_mutex_lock(&l->lock);
+    while (l->q->length == 0) base_cond_wait(&l->cond, &l->lock, base_span(10));
+    while (batch->len < most && l->q->length) g_ptr_array_add(batch, g_queue_pop_head(l->q));
+    pthread_mutex_unlock(&l->lock);
+}
+
+/* Polls: one compare-only transaction answers for a whole batch. */
+static void *poll_main(void *arg) {
+    (void)arg;
+    struct http_client *c = http_client_new();
+    GPtrArray *batch = g_ptr_array_new();
+    for (;;) {
+        g_ptr_array_set_size(batch, 0);
+        gather(&lanes[1], batch, (guint)cfg->txn_ops * 4);
+        struct store_txn t;
+        struct store_answer ans;
+        char key[96];
+        store_txn_init(&t);
+        store_lock();
+        for (guint i = 0; i < batch->len; i++) {
+            struct ask *a = batch->pdata[i];
+            snprintf(key, sizeof key, "job/%s", a->uid);
+            store_txn_if(&t, key, store_stamp(key));
+        }
+        store_unlock();
+        enum store_result rc = store_multi(c, STORE_ACCEPT, &t, &ans);
+        if (rc == STORE_CONFLICT)
+            for (guint i = 0; i < ans.failed->len; i++) store_refresh(c, ans.failed->pdata[i]);
+        for (guint i = 0; i < batch->len; i++) {
+            struct ask *a = batch->pdata[i];
+            if (rc != STORE_OK && rc != STORE_CONFLICT) {
+                refuse(a->req, 503, "the state service is out of reach", 2);
+            } else if (base_since(a->came) > POLL_S) {
+                /* We stood still or are far behind: what was confirmed may be old by now. */
+                refuse(a->req, 503, "the answer took too long", 1);
+            } else {
+                /* After a conflict the failed keys were read again, at a revision after the question came. A read
+                 * that failed leaves the older record: then it is not known, so not told. */
+                snprintf(key, sizeof key, "job/%s", a->uid);
+                store_lock();
+                struct job *j = jobs_find(a->uid);
+                bool moved = false;
+                for (guint f = 0; rc == STORE_CONFLICT && f < ans.failed->len; f++)
+                    if (strcmp(ans.failed->pdata[f], key) == 0) {
+                        const cJSON *x;
+                        int64_t was = -1;
+                        cJSON_ArrayForEach(x, t.conds) if (!strcmp(base_str(x, "path"), key))
+                            base_int(x, "stamp", &was);
+                        moved = store_stamp(key) == was;
+                    }
+                if (moved)
+                    refuse(a->req, 503, "the state service did not answer", 1);
+                else if (j && j->known)
+                    answer_known(a, j);
+                else
+                    refuse(a->req, 404, "no such job", 0);
+                store_unlock();
+            }
+            ask_free(a);
+        }
+        store_answer_clear(&ans);
+        store_txn_free(&t);
+    }
+    return NULL;
+}
+
+/* Fills the transaction for one round of submissions and cancels; a job known by now needs a compare only. */
+static void accept_fill(GPtrArray *batch, struct store_txn *t) {
+    char key[96];
+    for (guint i = 0; i < batch->len; i++) {
+        struct ask *a = batch->pdata[i];
+        snprintf(key, sizeof key, "job/%s", a->uid);
+        struct job *j = jobs_find(a->uid);
+        bool twice = false;
+        for (guint k = 0; k < i; k++) twice |= strcmp(((struct ask *)batch->pdata[k])->uid, a->uid) == 0;
+        store_txn_if(t, key, store_stamp(key));
+        a->was_known = j && j->known;
+        if (twice) continue;
+        if (a->kind == ASK_SUBMIT && !(j && j->known) && !a->refusal) {
+            enum job_state state = chains_cancelled_among(a->prerequisites) ? JOB_CANCELLED : JOB_QUEUED;
+            store_txn_set(t, key, jobs_value(a->spec_text, state, base_time_of_day()), 0);
+        } else if (j && j->known && j->state == JOB_QUEUED && (a->kind == ASK_CANCEL || chains_to_cancel(j))) {
+            store_txn_set(t, key, jobs_final_value(j, JOB_CANCELLED), 0);
+        }
+    }
+}
+
+static void accept_answer(GPtrArray *batch, enum store_result rc, struct store_txn *t) {
+    for (guint i = 0; i < batch->len; i++) {
+        struct ask *a = batch->pdata[i];
+        char key[96];
+        snprintf(key, sizeof key, "job/%s", a->uid);
+        if (rc != STORE_OK) {
+            store_lock();
+            bool away = store_away();
+            store_unlock();
+            if (rc == STORE_REFUSED && !away)
+                refuse(a->req, 429, "over the write budget", 1);
+            else
+                refuse(a->req, 503, "the state service did not answer", 2);
+            ask_free(a);
+            continue;
+        }
+        bool wrote = false;
+        int running;
+        const cJSON *x;
+        cJSON_ArrayForEach(x, t->ops) wrote |= strcmp(base_str(x, "set"), key) == 0;
+        store_lock();
+        struct job *j = jobs_find(a->uid);
+        if (a->kind == ASK_SUBMIT) {
+            if (j && j->known && (!wrote || a->was_known))
+                answer_known(a, j);
+            else if (j && j->known)
+                reply_job(a->req, 201, a->uid, jobs_state_name(j, &running), 0, 0);
+            else
+                refuse(a->req, a->refusal, a->why, a->refusal == 503 ? 2 : 0);
+        } else if (a->kind == ASK_POLL) {
+            answer_known(a, j);
+        } else if (j && j->known) {
+            if (j->state == JOB_QUEUED) {
+                refuse(a->req, 503, "not decided yet", 1);
+            } else {
+                j->told_cancelled = j->state == JOB_CANCELLED;
+                answer_known(a, j);
+                chains_wake();
+            }
+        } else {
+            refuse(a->req, 404, "no such job", 0);
+        }
+        store_unlock();
+        ask_free(a);
+    }
+}
+
+/* Asks the store about names that are not known here, before anything is decided. */
+static void check_prerequisites(struct http_client *c, GPtrArray *batch) {
+    for (guint i = 0; i < batch->len; i++) {
+        struct ask *a = batch->pdata[i];
+        if (a->refusal || !a->prerequisites) continue;
+        store_lock();
+        const struct job *j = jobs_find(a->uid);
+        bool known = j && j->known;
+        store_unlock();
+        if (!known) a->refusal = chains_check(c, a->uid, a->prerequisites, a->why, sizeof a->why);
+    }
+}
+
+static void *accept_main(void *arg) {
+    (void)arg;
+    struct http_client *c = http_client_new();
+    GPtrArray *batch = g_ptr_array_new();
+    for (;;) {
+        g_ptr_array_set_size(batch, 0);
+        gather(&lanes[0], batch, (guint)cfg->txn_ops);
+        enum store_result rc = STORE_REFUSED;
+        struct store_txn t;
+        store_txn_init(&t);
+        bool cancels = false;
+        for (guint i = 0; i < batch->len; i++) cancels |= ((struct ask *)batch->pdata[i])->kind == ASK_CANCEL;
+        check_prerequisites(c, batch);
+        struct timespec began = base_now();
+        for (int attempt = 0; attempt < 4; attempt++) {
+            struct store_answer ans;
+            store_txn_free(&t);
+            store_txn_init(&t);
+            store_lock();
+            accept_fill(batch, &t);
+            store_unlock();
+            rc = store_multi(c, cancels ? STORE_CANCEL : STORE_ACCEPT, &t, &ans);
+            if (rc == STORE_OK) {
+                store_lock();
+                store_apply_written(&t, ans.epoch);
+                store_unlock();
+                if (t.writes) peers_hint();
+            } else if (rc == STORE_CONFLICT) {
+                for (guint i = 0; i < ans.failed->len; i++) store_refresh(c, ans.failed->pdata[i]);
+            } else if (rc == STORE_UNKNOWN) {
+                /* The answer is lost: the keys tell whether it was applied. What may yet be applied late is a
+                 * submission that its user repeats, or a cancel that its user repeats. */
+                const cJSON *x;
+                cJSON_ArrayForEach(x, t.ops) store_refresh(c, base_str(x, "set"));
+            }
+            store_answer_clear(&ans);
+            if (rc == STORE_REFUSED && base_since(began) < 0.5) {
+                /* Over the rate, not out of reach: the next round's writes go in a moment. Sent away, the user would be
+                 * back a second later at the earliest. */
+                store_lock();
+                bool away = store_away();
+                store_unlock();
+                if (away) break;
+                base_sleep(base_span(0.08));
+                attempt--;
+                continue;
+            }
+            if (rc == STORE_OK || rc == STORE_REFUSED || rc == STORE_BAD || base_since(began) > 1.5) break;
+        }
+        accept_answer(batch, rc, &t);
+        store_txn_free(&t);
+    }
+    return NULL;
+}
+
+void users_init(const struct settings *s) { cfg = s; }
+
+void users_start(void) {
+    latency = gsl_histogram_alloc(60);
+    gsl_histogram_set_ranges_uniform(latency, -1, 5);
+    for (int i = 0; i < 2; i++) {
+        pthread_mutex_init(&lanes[i].lock, NULL);
+        base_cond_init(&lanes[i].cond);
+        lanes[i].q = g_queue_new();
+    }
+    base_thread(accept_main, NULL);
+    base_thread(poll_main, NULL);
+}
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../chains/chains.h"
 #include "../membership/membership.h"
 #include "../peers/peers.h"
 #include "../rounds/rounds.h"
@@ -226,8 +227,8 @@
 
 /* Booked by us and not yet shown by the worker. */
 static bool waits_for_start(const struct booking *b) {
-    return !b->over && !b->stop && !b->seen && !b->inherited && b->job->state == JOB_QUEUED && !b->m->returning &&
-           !b->m->want_return;
+    return !b->over && !b->stop && !b->seen && !b->inherited && b->job->state == JOB_QUEUED && !chains_waits(b->job) &&
+           !b->m->returning && !b->m->want_return;
 }
 
 cJSON *workers_orders(struct machine *m, bool direct) {
