--- /dev/null
+++ b/src/service/service_upgrade_test.c
@@ -0,0 +1,218 @@
+/* A rolling upgrade with real processes: controllers of the version in production and of this one on each other's
+ * records, then the lower limits of the state service. No task runs twice, none is lost, no job goes unanswered, quota
+ * is kept, and nothing is sent that the lower limits refuse.
+ *
+ * One row a run: the stand-ins begin from nothing. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../tests/standin/fleet.h"
+#include "../../tests/standin/pair.h"
+#include "../../tests/standin/site.h"
+#include "../../tests/standin/state.h"
+
+#define NEXT_LIMITS "{\"write_rps\":400,\"value_kb\":1,\"txn_ops\":4}"
+#define NEXT_VALUE_KB 1
+#define NEXT_OPS 4
+#define NEXT_RPS 400
+#define WIDE 80 /* tasks of the wide array: more than a record holds under the next limit */
+
+enum trouble {
+    NOTHING,
+    OLD_CRASHES,   /* the one that is still old ends and is back at once, old */
+    NEW_CRASHES,   /* the upgraded one ends: its shares pass to the old one, and back */
+    BOTH_END,      /* both end at once and come back as they were */
+    CANCEL_AT_NEW, /* cancellations confirmed by the new one, carried out by the old */
+    CANCEL_AT_OLD, /* and the other way round */
+    OUTAGE,        /* the store is out for a while */
+    LATE_WRITES,   /* transactions come late */
+};
+static const struct {
+    const char *what;
+    int first; /* which controller is upgraded first */
+    enum trouble trouble;
+    bool limits_at_once; /* they fall right after the last upgrade, before anything was written anew */
+} rows[] = {
+    {"nothing else happens", 0, NOTHING, false},
+    {"the other first", 1, NOTHING, true},
+    {"the old one is back in a fraction of a second", 0, OLD_CRASHES, false},
+    {"the new one ends: shares pass back to the old", 0, NEW_CRASHES, true},
+    {"both end in the middle", 1, BOTH_END, true},
+    {"cancelled at the new one", 0, CANCEL_AT_NEW, false},
+    {"cancelled at the old one", 0, CANCEL_AT_OLD, true},
+    {"the store is out in the middle", 1, OUTAGE, true},
+    {"transactions come late", 0, LATE_WRITES, false},
+};
+static size_t row;
+static const char *old_program, *new_program;
+
+static void begin_as(int i, const char *program) {
+    pair_program(i, program);
+    pair_begin(i);
+}
+
+static int running(const char *uid, int tasks) {
+    char name[64];
+    int n = 0;
+    for (int t = 0; t < tasks; t++) {
+        g_snprintf(name, sizeof name, "%s/%d", uid, t);
+        n += standin_workers_running(name) == 1;
+    }
+    return n;
+}
+
+static bool all_running(const char *uid, int tasks, double within) {
+    struct timespec start = base_now();
+    while (running(uid, tasks) != tasks && base_since(start) < within) base_sleep(base_span(0.1));
+    return running(uid, tasks) == tasks;
+}
+
+static void cancel_at(int i, const char *uid) {
+    char s[32] = "", path[64];
+    g_snprintf(path, sizeof path, "/work/%s/cancel", uid);
+    struct timespec start = base_now();
+    while (pair_ask_one(i, "POST", path, "{}", s, sizeof s) != 200 && base_since(start) < 10)
+        base_sleep(base_span(0.05));
+    assert_string_equal(s, "cancelled");
+}
+
+/* Between the two upgrades. */
+static void trouble(int new, int old) {
+    switch (rows[row].trouble) {
+        case NOTHING:
+            break;
+        case OLD_CRASHES:
+            pair_end(old);
+            begin_as(old, old_program);
+            base_sleep(base_span(0.3));
+            pair_end(old);
+            begin_as(old, old_program);
+            break;
+        case NEW_CRASHES:
+            pair_end(new);
+            base_sleep(base_span(PAIR_LEASE_S)); /* the old one takes all shares and rewrites their records */
+            assert_true(pair_submit("req-10003", "red", "batch", 12));
+            assert_true(pair_submit("req-10004", "blue", "batch", 12));
+            begin_as(new, new_program);
+            break;
+        case BOTH_END:
+            pair_end(0);
+            pair_end(1);
+            begin_as(old, old_program);
+            begin_as(new, new_program);
+            break;
+        case CANCEL_AT_NEW:
+            cancel_at(new, "req-90007");
+            cancel_at(new, "req-90008");
+            break;
+        case CANCEL_AT_OLD:
+            cancel_at(old, "req-90007");
+            cancel_at(old, "req-90008");
+            break;
+        case OUTAGE:
+            standin_state_trouble(STANDIN_OUTAGE);
+            base_sleep(base_span(2));
+            standin_state_trouble(STANDIN_NONE);
+            break;
+        case LATE_WRITES:
+            standin_state_late(0.5);
+            assert_true(pair_submit("req-10003", "red", "batch", 12));
+            base_sleep(base_span(2));
+            standin_state_late(0);
+            break;
+    }
+    base_sleep(base_span(1.5));
+}
+
+/* Chains, once all controllers are new. */
+static void chains_work(void) {
+    char s[32] = "";
+    assert_int_equal(pair_submit_after("req-10040", "red", "batch", 2, "[]"), 201);
+    assert_int_equal(pair_submit_after("req-10041", "blue", "batch", 2, "[\"req-10040\"]"), 201);
+    assert_int_equal(pair_submit_after("req-10042", "red", "batch", 1, "[\"req-10041\",\"req-10040\"]"), 201);
+    struct timespec start = base_now();
+    while (!standin_workers_holding("req-10041/0") && base_since(start) < 20) base_sleep(base_span(0.01));
+    pair_ask(0, "GET", "/work/req-10040", NULL, s, sizeof s);
+    assert_string_equal(s, "done");
+    assert_true(pair_becomes("req-10042", "done", 20));
+    assert_int_equal(pair_submit_after("req-10043", "red", "batch", 1, "[\"req-77777\"]"), 422);
+    assert_int_equal(pair_submit_after("req-10043", "red", "batch", 1, "[\"req-90001\"]"), 422);
+    assert_int_equal(pair_submit_after("req-10043", "red", "batch", 1, "[\"req-10043\"]"), 422);
+    assert_int_equal(pair_submit_after("req-10043", "red", "batch", 1, "[7]"), 400);
+    /* What needs a cancelled job is cancelled, at whichever node its user asks. */
+    assert_int_equal(pair_submit_after("req-90050", "red", "batch", 1, "[]"), 201);
+    assert_int_equal(pair_submit_after("req-10051", "blue", "batch", 1, "[\"req-90050\"]"), 201);
+    assert_int_equal(pair_submit_after("req-10052", "red", "batch", 1, "[\"req-10051\"]"), 201);
+    cancel_at(0, "req-90050");
+    assert_true(pair_becomes("req-10052", "cancelled", PAIR_CANCEL_S));
+    assert_true(pair_becomes("req-10051", "cancelled", PAIR_CANCEL_S));
+    assert_int_equal(pair_submit_after("req-10053", "red", "batch", 1, "[\"req-10052\"]"), 201);
+    assert_true(pair_becomes("req-10053", "cancelled", PAIR_CANCEL_S));
+    assert_int_equal(standin_workers_holding("req-10051/0") + standin_workers_holding("req-10053/0"), 0);
+}
+
+static void upgrade(void **state) {
+    (void)state;
+    int first = rows[row].first, second = 1 - first;
+    standin_state_limits(4, 8, 500);
+    begin_as(0, old_program);
+    begin_as(1, old_program);
+    standin_workers_watch("req-94001/");
+    assert_true(pair_submit("req-90001", "red", "standing", 2));
+    assert_true(pair_submit("req-90002", "blue", "batch", WIDE));
+    assert_true(pair_submit("req-90003", "red", "group", 3));
+    assert_true(pair_submit("req-90007", "red", "standing", 2));
+    assert_true(pair_submit("req-90008", "blue", "standing", 2));
+    assert_true(pair_submit("req-94001", "green", "batch", 8)); /* its team may run 4 */
+    assert_true(all_running("req-90001", 2, 20) && all_running("req-90002", WIDE, 30) &&
+                all_running("req-90003", 3, 20) && all_running("req-90007", 2, 20) && all_running("req-90008", 2, 20));
+    assert_true(standin_state_largest("run/") > NEXT_VALUE_KB * 1024);
+    assert_true(pair_submit("req-10001", "blue", "batch", 8));
+    pair_end(first);
+    begin_as(first, new_program);
+    base_sleep(base_span(PAIR_LEASE_S * 0.75)); /* a share is given to it */
+    trouble(first, second);
+    assert_true(pair_submit("req-10002", "red", "batch", 8));
+    pair_end(second);
+    begin_as(second, new_program);
+    char *record = NULL, key[32];
+    struct timespec start = base_now();
+    g_snprintf(key, sizeof key, "format/n%d", second);
+    while (!(record = standin_state_value(key)) && base_since(start) < 20) base_sleep(base_span(0.01));
+    assert_non_null(record);
+    g_free(record);
+    if (!rows[row].limits_at_once) base_sleep(base_span(4));
+    standin_state_limits(NEXT_VALUE_KB, NEXT_OPS, NEXT_RPS);
+    assert_true(pair_becomes("req-10001", "done", 30) && pair_becomes("req-10002", "done", 30));
+    chains_work();
+    bool cancelled = rows[row].trouble == CANCEL_AT_NEW || rows[row].trouble == CANCEL_AT_OLD;
+    assert_int_equal(running("req-90007", 2) + running("req-90008", 2), cancelled ? 0 : 4);
+    assert_true(all_running("req-90001", 2, 10) && all_running("req-90002", WIDE, 20) &&
+                all_running("req-90003", 3, 10));
+    /* A wide array ends under the new limits though its record was too large for them, and another is as wide as it. */
+    cancel_at(1, "req-90002");
+    start = base_now();
+    while (running("req-90002", WIDE) > 0 && base_since(start) < PAIR_CANCEL_S) base_sleep(base_span(0.05));
+    assert_int_equal(running("req-90002", WIDE), 0);
+    assert_true(pair_submit("req-90009", "blue", "batch", WIDE));
+    assert_true(all_running("req-90009", WIDE, 30));
+    assert_true(standin_state_largest("run/req-90009") <= NEXT_VALUE_KB * 1024);
+    assert_true(pair_becomes("req-90002", "cancelled", 5));
+    assert_in_range(standin_workers_peak(), 1, 4);
+    assert_int_equal(standin_workers_most(), 1);
+    assert_int_equal(standin_state_malformed(), 0);
+}
+
+int main(int argc, char **argv) {
+    row = argc > 3 ? (size_t)atoi(argv[3]) : 0;
+    if (argc < 3 || row >= G_N_ELEMENTS(rows)) return 2;
+    new_program = argv[1];
+    old_program = argv[2];
+    pair_next_limits(NEXT_LIMITS);
+    if (!pair_start(new_program, 40 + (int)row)) return 2;
+    standin_cloud_willing();
+    const struct CMUnitTest tests[] = {{rows[row].what, upgrade, NULL, NULL, NULL}};
+    int rc = cmocka_run_group_tests(tests, NULL, NULL);
+    pair_clear();
+    return rc;
+}
--- a/tests/standin/pair.h
+++ b/tests/standin/pair.h
@@ -7,8 +7,10 @@
 #define PAIR_LEASE_S 4
 #define PAIR_CANCEL_S 8
 
+void pair_next_limits(const char *json);        /* `state.next` of the settings; before pair_start */
 bool pair_start(const char *program, int slot); /* the stand-ins, on ports of the slot; no controller yet */
 void pair_clear(void);                          /* ends what runs */
+void pair_program(int i, const char *program);  /* what that controller is from its next beginning on */
 void pair_begin(int i);
 void pair_end(int i);
 /* Begins both anew with controller `first` leading; false if that was not so within 15 s. */
@@ -20,6 +22,8 @@
 /* Submits until it is accepted, up to 20 s. Tasks of uids req-9... run on, others for 0.6 s. Team green has a limit of
  * 4 tasks; its share is red's. */
 bool pair_submit(const char *uid, const char *team, const char *shape, int tasks);
+/* The same with `prereqs`, a JSON list; the status that ended it. */
+long pair_submit_after(const char *uid, const char *team, const char *shape, int tasks, const char *prereqs);
 const char *pair_team_of(int owner); /* a team whose share that controller owns; NULL: none */
 bool pair_leads(int i);
 bool pair_runs(const char *task, int want, double within); /* on so many machines */
--- a/tests/standin/state.c
+++ b/tests/standin/state.c
@@ -100,6 +100,29 @@
 
 static int unguarded;
 
+static double limit_value_kb = 1e9;
+static int limit_ops = 1000000, limit_rps = 1000000, malformed, second_writes;
+static struct timespec second_began;
+
+/* 0, or what a transaction gets that is beyond the limits. Even one whose conditions fail counts as changes. */
+static unsigned beyond_limits(const cJSON *then) {
+    bool too_large = cJSON_GetArraySize(then) > limit_ops;
+    const cJSON *x;
+    cJSON_ArrayForEach(x, then) {
+        char *text = cJSON_PrintUnformatted(cJSON_GetObjectItem(x, "data"));
+        too_large |= text && (double)strlen(text) > limit_value_kb * 1024;
+        free(text);
+    }
+    malformed += too_large;
+    if (too_large) return 400;
+    if (base_since(second_began) > 1) {
+        second_began = base_now();
+        second_writes = 0;
+    }
+    second_writes += cJSON_GetArraySize(then);
+    return second_writes > limit_rps ? 429 : 0;
+}
+
 static bool names_own(const cJSON *conds, const char *key) {
     const cJSON *x;
     cJSON_ArrayForEach(x, conds) if (strcmp(base_str(x, "path"), key) == 0) return true;
@@ -108,6 +131,8 @@
 
 static unsigned multi(const cJSON *o, cJSON *out) {
     const cJSON *x, *then = cJSON_GetObjectItem(o, "then");
+    unsigned beyond = beyond_limits(then);
+    if (beyond) return beyond;
     cJSON *failed = cJSON_CreateArray();
     cJSON_ArrayForEach(x, cJSON_GetObjectItem(o, "if")) {
         int64_t want = -1;
@@ -299,6 +324,40 @@
     return t;
 }
 
+void standin_state_limits(double value_kb, int txn_ops, int write_rps) {
+    pthread_mutex_lock(&lock);
+    limit_value_kb = value_kb;
+    limit_ops = txn_ops;
+    limit_rps = write_rps;
+    pthread_mutex_unlock(&lock);
+}
+
+int standin_state_malformed(void) {
+    pthread_mutex_lock(&lock);
+    int n = malformed;
+    pthread_mutex_unlock(&lock);
+    return n;
+}
+
+struct largest {
+    const char *prefix;
+    size_t bytes;
+};
+
+static gboolean measure(gpointer k, gpointer v, gpointer data) {
+    struct largest *l = data;
+    if (g_str_has_prefix(k, l->prefix)) l->bytes = MAX(l->bytes, strlen(((struct row *)v)->text));
+    return FALSE;
+}
+
+size_t standin_state_largest(const char *prefix) {
+    struct largest l = {prefix, 0};
+    pthread_mutex_lock(&lock);
+    g_tree_foreach(rows, measure, &l);
+    pthread_mutex_unlock(&lock);
+    return l.bytes;
+}
+
 int standin_state_unguarded(void) {
     pthread_mutex_lock(&lock);
     int n = unguarded;
