--- /dev/null
+++ b/src/service/service_chains_test.c
@@ -0,0 +1,231 @@
+/* Chains of jobs with two real controllers: names accepted elsewhere a moment ago, ends that meet cancellations, owners
+ * that end between two stages, and cancellations that an outage holds up. No stage starts before the record of the one
+ * before it says done; what needs a cancelled job is cancelled, and its user is told nothing else.
+ *
+ * One row a run: the stand-ins begin from nothing. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../tests/standin/fleet.h"
+#include "../../tests/standin/pair.h"
+#include "../../tests/standin/site.h"
+#include "../../tests/standin/state.h"
+
+#define STAGE_S 20.0 /* by when a stage has followed the one before it, whatever happened */
+
+static bool record_says(const char *uid, const char *state) {
+    char key[64], want[64];
+    g_snprintf(key, sizeof key, "job/%s", uid);
+    g_snprintf(want, sizeof want, "\"state\":\"%s\"", state);
+    char *text = standin_state_value(key);
+    bool yes = text && strstr(text, want);
+    g_free(text);
+    return yes;
+}
+
+static bool held(const char *uid) {
+    char task[64];
+    g_snprintf(task, sizeof task, "%s/0", uid);
+    return standin_workers_holding(task) > 0;
+}
+
+/* Waits until the second job is done; fails if it was begun before the first one's record said done. */
+static void follows(const char *first, const char *second) {
+    struct timespec start = base_now();
+    while (!record_says(second, "done") && base_since(start) < STAGE_S) {
+        bool begun = held(second); /* in this order: the record is never taken back */
+        if (begun && !record_says(first, "done")) fail_msg("%s began before %s was done", second, first);
+        base_sleep(base_span(0.005));
+    }
+    if (!record_says(second, "done")) fail_msg("%s did not follow %s", second, first);
+}
+
+static void submit_after(const char *uid, const char *team, const char *prereqs) {
+    assert_int_equal(pair_submit_after(uid, team, "batch", 1, prereqs) / 100, 2);
+}
+
+static void cancel(int i, const char *uid, char *answer, size_t n) {
+    char path[64];
+    g_snprintf(path, sizeof path, "/work/%s/cancel", uid);
+    struct timespec start = base_now();
+    while (pair_ask_one(i, "POST", path, "{}", answer, n) != 200 && base_since(start) < 5) base_sleep(base_span(0.02));
+}
+
+/* Both controllers, asked until each has said that the job is cancelled: neither says anything else on the way. */
+static void only_cancelled(const char *uid, double within) {
+    char path[64], s[32];
+    struct timespec start = base_now();
+    bool said[2] = {false, false};
+    g_snprintf(path, sizeof path, "/work/%s", uid);
+    while (!(said[0] && said[1]) && base_since(start) < within)
+        for (int i = 0; i < 2; i++) {
+            if (pair_ask_one(i, "GET", path, NULL, s, sizeof s) != 200) {
+                base_sleep(base_span(0.02));
+                continue;
+            }
+            if (strcmp(s, "cancelled") != 0) fail_msg("%s is called %s at n%d", uid, s, i);
+            said[i] = true;
+        }
+    if (!said[0] || !said[1]) fail_msg("%s is not called cancelled", uid);
+}
+
+/* A name that the other controller accepted a moment ago is never called unknown. */
+static void named_at_once(void) {
+    char first[32], second[32], body[640];
+    for (int i = 0; i < 20; i++) {
+        g_snprintf(first, sizeof first, "req-110%02d", i);
+        g_snprintf(second, sizeof second, "req-120%02d", i);
+        for (int stage = 0; stage < 2; stage++) {
+            g_snprintf(body, sizeof body,
+                       "{\"uid\":\"%s\",\"jobclass\":\"c\",\"owner\":\"%s\",\"shape\":\"batch\",\"rank\":\"high\","
+                       "\"tasks\":1,\"vcpus\":1,\"gpus\":0,\"memory_gb\":1,\"image\":\"i\",\"pull_gb\":1,"
+                       "\"together\":false,\"spread\":false,\"reclaimable\":false,\"runtime_s\":1,\"checkpoint_s\":0,"
+                       "\"flush_s\":0,\"prereqs\":[%s%s%s]}",
+                       stage ? second : first, stage ? "blue" : "red", stage ? "\"" : "", stage ? first : "",
+                       stage ? "\"" : "");
+            long status = 0;
+            for (int n = 0; n < 100 && (status == 0 || status >= 429); n++) {
+                status = pair_ask_one((i + stage) % 2, "POST", "/work", body, NULL, 0);
+                if (status == 0 || status >= 429) base_sleep(base_span(0.05));
+            }
+            assert_int_equal(status / 100, 2);
+        }
+    }
+    follows("req-11019", "req-12019");
+}
+
+/* The end of a job's last task meets its cancellation, a submission that names it, and polls at both controllers. */
+static void end_meets_cancel(void) {
+    char first[32], second[32], prereqs[40], s[32];
+    for (int i = 0; i < 8; i++) {
+        g_snprintf(first, sizeof first, "req-1300%d", i);
+        g_snprintf(second, sizeof second, "req-1400%d", i);
+        g_snprintf(prereqs, sizeof prereqs, "[\"%s\"]", first);
+        submit_after(first, "red", "[]");
+        struct timespec start = base_now();
+        while (!held(first) && base_since(start) < STAGE_S) base_sleep(base_span(0.005));
+        base_sleep(base_span(0.5 + 0.1 * i)); /* it runs for 0.6 s, and is then reported */
+        cancel(i % 2, first, s, sizeof s);
+        submit_after(second, "blue", prereqs);
+        if (strcmp(s, "done") == 0) {
+            follows(first, second);
+        } else {
+            assert_string_equal(s, "cancelled");
+            only_cancelled(second, PAIR_CANCEL_S);
+            assert_false(held(second));
+        }
+    }
+}
+
+static int owner_of(const char *team) { return pair_team_of(0) && strcmp(pair_team_of(0), team) == 0 ? 0 : 1; }
+
+/* The owner ends between a stage's end and the next start, also while its last writes and commands come late. */
+static void owner_ends(bool late) {
+    submit_after("req-15001", "red", "[]");
+    submit_after("req-15002", "red", "[\"req-15001\"]");
+    submit_after("req-15003", "blue", "[\"req-15002\",\"req-15001\"]");
+    struct timespec start = base_now();
+    while (!held("req-15001") && base_since(start) < STAGE_S) base_sleep(base_span(0.005));
+    if (late) {
+        standin_state_late(1);
+        standin_workers_reach(-1, STANDIN_HELD);
+    }
+    while (!record_says("req-15001", "done") && base_since(start) < STAGE_S) base_sleep(base_span(0.002));
+    int owner = owner_of("red");
+    pair_end(owner);
+    if (late) {
+        base_sleep(base_span(PAIR_LEASE_S * 0.75));
+        standin_workers_reach(-1, STANDIN_WELL);
+        standin_state_late(0);
+    }
+    pair_begin(owner);
+    follows("req-15001", "req-15002");
+    follows("req-15002", "req-15003");
+    assert_int_equal(standin_workers_most(), 1);
+}
+
+static void ends_in_between(void) { owner_ends(false); }
+static void ends_with_late_writes(void) { owner_ends(true); }
+
+/* The first stage is cancelled, then the store is out for longer than cancel_s. */
+static void cancelled_before_outage(bool confirmer_ends) {
+    char s[32] = "";
+    submit_after("req-96001", "red", "[]"); /* runs on */
+    submit_after("req-16002", "blue", "[\"req-96001\"]");
+    submit_after("req-16003", "red", "[\"req-16002\"]");
+    submit_after("req-16004", "blue", "[]"); /* needs nothing */
+    struct timespec start = base_now();
+    while (!held("req-96001") && base_since(start) < STAGE_S) base_sleep(base_span(0.005));
+    cancel(0, "req-96001", s, sizeof s);
+    standin_state_trouble(STANDIN_OUTAGE);
+    struct timespec out = base_now();
+    assert_string_equal(s, "cancelled");
+    if (confirmer_ends) pair_end(0);
+    pair_wait(out, PAIR_CANCEL_S + 1);
+    assert_false(held("req-96001"));
+    if (confirmer_ends) pair_begin(0);
+    standin_state_trouble(STANDIN_NONE);
+    only_cancelled("req-16002", 10);
+    only_cancelled("req-16003", 10);
+    submit_after("req-16005", "red", "[\"req-16003\"]");
+    only_cancelled("req-16005", 5);
+    assert_false(held("req-16002") || held("req-16003") || held("req-16005"));
+    assert_true(pair_becomes("req-16004", "done", STAGE_S));
+}
+
+static void outage_after_cancel(void) { cancelled_before_outage(false); }
+static void outage_and_confirmer_ends(void) { cancelled_before_outage(true); }
+
+/* The store is out: a name that is not known here is not called unknown. Known ones are answered by their state. */
+static void unknown_in_outage(void) {
+    char body[640], s[32] = "";
+    submit_after("req-17001", "red", "[]");
+    assert_true(pair_becomes("req-17001", "done", STAGE_S));
+    g_snprintf(body, sizeof body,
+               "{\"uid\":\"req-17001\",\"jobclass\":\"c\",\"owner\":\"red\",\"shape\":\"batch\",\"rank\":\"high\","
+               "\"tasks\":1,\"vcpus\":1,\"gpus\":0,\"memory_gb\":1,\"image\":\"i\",\"pull_gb\":1,\"together\":false,"
+               "\"spread\":false,\"reclaimable\":false,\"runtime_s\":1,\"checkpoint_s\":0,\"flush_s\":0,"
+               "\"prereqs\":[\"req-77777\"]}");
+    assert_int_equal(pair_ask_one(0, "POST", "/work", body, s, sizeof s), 200);
+    assert_string_equal(s, "done");
+    body[strlen("{\"uid\":\"req-1700")] = '2';
+    standin_state_trouble(STANDIN_OUTAGE);
+    assert_int_equal(pair_ask_one(0, "POST", "/work", body, s, sizeof s), 503);
+    base_sleep(base_span(3.5));
+    assert_int_equal(pair_ask_one(0, "POST", "/work", body, s, sizeof s), 503);
+    standin_state_trouble(STANDIN_NONE);
+    long status = 503;
+    struct timespec start = base_now();
+    while (status == 503 && base_since(start) < 10) status = pair_ask_one(0, "POST", "/work", body, s, sizeof s);
+    assert_int_equal(status, 422);
+}
+
+static const struct {
+    const char *what;
+    void (*run)(void);
+} rows[] = {
+    {"named a moment after the other accepted it", named_at_once},
+    {"the end meets a cancellation and a submission", end_meets_cancel},
+    {"the owner ends between two stages", ends_in_between},
+    {"the same with late writes and commands", ends_with_late_writes},
+    {"cancelled, then an outage", outage_after_cancel},
+    {"and the one that confirmed ends", outage_and_confirmer_ends},
+    {"an unknown name in an outage", unknown_in_outage},
+};
+static size_t row;
+
+static void meeting(void **state) {
+    (void)state;
+    assert_true(pair_begin_led_by(0));
+    rows[row].run();
+}
+
+int main(int argc, char **argv) {
+    row = argc > 2 ? (size_t)atoi(argv[2]) : 0;
+    if (row >= G_N_ELEMENTS(rows) || argc < 2 || !pair_start(argv[1], 60 + (int)row)) return 2;
+    standin_cloud_willing();
+    const struct CMUnitTest tests[] = {{rows[row].what, meeting, NULL, NULL, NULL}};
+    int rc = cmocka_run_group_tests(tests, NULL, NULL);
+    pair_clear();
+    return rc;
+}
--- a/src/service/service_upgrade_test.c
+++ b/src/service/service_upgrade_test.c
@@ -151,6 +151,21 @@
     assert_int_equal(standin_workers_holding("req-10051/0") + standin_workers_holding("req-10053/0"), 0);
 }
 
+/* A job with prerequisites that reaches the first version by whatever way: it finds nothing there that it could start,
+ * and knows no such job. */
+static void leave_chained_record(void) {
+    assert_true(pair_becomes("req-10001", "done", 30));
+    standin_state_put(
+        "job/req-10060",
+        "{\"chained_spec\":{\"uid\":\"req-10060\",\"jobclass\":\"c\",\"owner\":\"red\",\"shape\":\"batch\","
+        "\"rank\":\"high\",\"tasks\":1,\"vcpus\":1,\"gpus\":0,\"memory_gb\":1,\"image\":\"i\",\"pull_gb\":1,"
+        "\"together\":false,\"spread\":false,\"reclaimable\":false,\"runtime_s\":1,\"checkpoint_s\":0,"
+        "\"flush_s\":0,\"prereqs\":[\"req-10001\"]},\"state\":\"queued\",\"at\":1}");
+    base_sleep(base_span(1.5));
+    assert_int_equal(standin_workers_holding("req-10060/0"), 0);
+    assert_int_equal(pair_ask_one(1, "GET", "/work/req-10060", NULL, NULL, 0), 404);
+}
+
 static void upgrade(void **state) {
     (void)state;
     int first = rows[row].first, second = 1 - first;
@@ -168,6 +183,7 @@
                 all_running("req-90003", 3, 20) && all_running("req-90007", 2, 20) && all_running("req-90008", 2, 20));
     assert_true(standin_state_largest("run/") > NEXT_VALUE_KB * 1024);
     assert_true(pair_submit("req-10001", "blue", "batch", 8));
+    leave_chained_record();
     pair_end(first);
     begin_as(first, new_program);
     base_sleep(base_span(PAIR_LEASE_S * 0.75)); /* a share is given to it */
@@ -184,6 +200,7 @@
     if (!rows[row].limits_at_once) base_sleep(base_span(4));
     standin_state_limits(NEXT_VALUE_KB, NEXT_OPS, NEXT_RPS);
     assert_true(pair_becomes("req-10001", "done", 30) && pair_becomes("req-10002", "done", 30));
+    assert_true(pair_becomes("req-10060", "done", 20));
     chains_work();
     bool cancelled = rows[row].trouble == CANCEL_AT_NEW || rows[row].trouble == CANCEL_AT_OLD;
     assert_int_equal(running("req-90007", 2) + running("req-90008", 2), cancelled ? 0 : 4);
--- a/src/users/users.c
+++ b/src/users/users.c
@@ -329,7 +329,7 @@
             store_lock();
             bool away = store_away();
             store_unlock();
-            if (rc == STORE_REFUSED && !away)
+            if (rc == STORE_REFUSED && !away && a->refusal != 503)
                 refuse(a->req, 429, "over the write budget", 1);
             else
                 refuse(a->req, 503, "the state service did not answer", 2);
