Jobs with a mistake, faulty machines, overdue boots, arrays of 25,000 tasks

Arrays also keep the machine that was best for the last task, bookings know their places in both lists, done bits are counted by record. New: failures (a job that fails on two machines is tried with one task at a time, a machine on which two sound jobs fail is returned), boots (overdue machines are no supply, replacements are bounded).

--- a/src/bookings/bookings.c
+++ b/src/bookings/bookings.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../failures/failures.h"
 #include "../format/format.h"
 #include "../rounds/rounds.h"
 #include "../workers/workers.h"
@@ -111,7 +112,8 @@
     }
     char *done = j->pend && !final ? jobs_bits_text(j->pend, from, n) : NULL;
     bool any = done && strspn(done, "0") < strlen(done);
-    if (base == INT64_MAX && !any) {
+    int failed_tries = chunk == 0 && !final ? failures_to_record(j) : 0;
+    if (base == INT64_MAX && !any && !failed_tries) {
         g_free(done);
         return NULL;
     }
@@ -130,6 +132,7 @@
     /* From the second layout on every record names it, so that none depends on what the settings say some day. */
     if (stretch != bookings_first_stretch() || format_active()) cJSON_AddNumberToObject(o, "n", stretch);
     if (any) cJSON_AddStringToObject(o, "d", done);
+    if (failed_tries) cJSON_AddNumberToObject(o, "e", failed_tries);
     if (b->len) {
         cJSON_AddNumberToObject(o, "f", (double)base);
         cJSON_AddStringToObject(o, "b", b->str + 1);
@@ -139,13 +142,22 @@
     return o;
 }
 
+/* Removes one entry in constant time, whatever the number of a job's tasks; returns the last one, which takes its
+ * place, if there is one. */
+static struct booking *remove_at(GPtrArray *list, guint at) {
+    g_ptr_array_remove_index_fast(list, at);
+    return at < list->len ? list->pdata[at] : NULL;
+}
+
 static void booking_free(struct booking *b) {
     struct machine *m = b->m;
     /* Who may take the machine over some day knows its images from this. */
     if (b->job->spec.image && base_since(b->booked) > 20 && !g_hash_table_contains(m->images, b->job->spec.image))
         g_hash_table_add(m->images, g_strdup(b->job->spec.image));
-    g_ptr_array_remove_fast(b->job->bookings, b);
-    g_ptr_array_remove_fast(m->bookings, b);
+    struct booking *moved = remove_at(b->job->bookings, b->at_job);
+    if (moved) moved->at_job = b->at_job;
+    moved = remove_at(m->bookings, b->at_machine);
+    if (moved) moved->at_machine = b->at_machine;
     records_drop_stub(m);
     g_free(b);
 }
@@ -159,6 +171,7 @@
         if (b->over) return true;
         live = true;
     }
+    if (chunk == 0 && j->failed_tries_recorded != failures_to_record(j)) return true;
     if (j->pend && n > 0 && memcmp(j->done + from / 8, j->pend + from / 8, (size_t)(n + 7) / 8) != 0) return true;
     return j->state != JOB_QUEUED && !live && j->runs && (j->runs[chunk] & 1);
 }
@@ -190,6 +203,9 @@
     jobs_run_record(j, chunk, data != NULL);
     const char *done = base_str(data, "d"), *text = base_str(data, "b");
     if (done) jobs_done_bits(j, done, from, size);
+    int64_t failed_tries = 0;
+    base_int(data, "e", &failed_tries);
+    if (chunk == 0) failures_read(j, (int)CLAMP(failed_tries, 0, INT32_MAX));
     int64_t base = 0, attempt;
     base_int(data, "f", &base);
     struct booking **at = g_new0(struct booking *, (gsize)size);
@@ -214,6 +230,8 @@
         b->inherited = true; /* until a round says that it is its own */
         b->stop = j->state != JOB_QUEUED;
         b->m->had_task = true;
+        b->at_job = j->bookings->len;
+        b->at_machine = b->m->bookings->len;
         g_ptr_array_add(j->bookings, b);
         g_ptr_array_add(b->m->bookings, b);
         at[task - from] = b;
--- /dev/null
+++ b/src/boots/boots.c
@@ -0,0 +1,73 @@
+#include "boots.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "../cloud/cloud.h"
+
+#define STARTUP_UNKNOWN_S 60.0 /* for a type that promises no time */
+#define PROMISED_TIMES 1.6     /* of the promised time, while few boots were seen */
+#define SEEN_LEAST 8           /* boots from which the type's own time is learned */
+#define SEEN_PART 0.9          /* of the boots seen are no longer than what is expected, but for the margin */
+#define SEEN_MARGIN 1.25
+#define EXPECTED_LEAST 0.5 /* bounds of what is learned, in promised times */
+#define EXPECTED_MOST 3.0
+#define LIMIT_TIMES 3.5 /* of the promised time, and this much longer, until a machine counts as failed */
+#define LIMIT_MORE_S 10.0
+#define REPLACED_LEAST 2 /* overdue machines that may be replaced, */
+#define REPLACED_PART 8  /* or one in so many that are up */
+
+/* The latest boots of a type. */
+struct boot_times {
+    double took_s[BOOTS_REMEMBERED];
+    int n, next;
+};
+
+static GHashTable *by_type; /* sku -> struct boot_times */
+
+static struct boot_times *times_of(const char *sku) { return by_type ? g_hash_table_lookup(by_type, sku) : NULL; }
+
+void boots_note(const char *sku, double took_s) {
+    if (took_s < 0) return;
+    if (!by_type) by_type = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    struct boot_times *t = times_of(sku);
+    if (!t) {
+        t = g_new0(struct boot_times, 1);
+        g_hash_table_insert(by_type, g_strdup(sku), t);
+    }
+    t->took_s[t->next] = took_s;
+    t->next = (t->next + 1) % BOOTS_REMEMBERED;
+    t->n = MIN(t->n + 1, BOOTS_REMEMBERED);
+}
+
+static int shorter(const void *a, const void *b) {
+    double d = *(const double *)a - *(const double *)b;
+    return d < 0 ? -1 : d > 0;
+}
+
+double boots_expected_of(const double *took_s, int n, double startup_s) {
+    if (n < SEEN_LEAST) return startup_s * PROMISED_TIMES;
+    double sorted[BOOTS_REMEMBERED];
+    n = MIN(n, BOOTS_REMEMBERED);
+    memcpy(sorted, took_s, sizeof *sorted * (size_t)n);
+    qsort(sorted, (size_t)n, sizeof *sorted, shorter);
+    double usual = sorted[(int)((n - 1) * SEEN_PART)];
+    return CLAMP(usual * SEEN_MARGIN, startup_s * EXPECTED_LEAST, startup_s * EXPECTED_MOST);
+}
+
+static double startup_of(const struct flavour_info *f) {
+    return f && f->startup_s > 0 ? f->startup_s : STARTUP_UNKNOWN_S;
+}
+
+double boots_expected(const struct flavour_info *f) {
+    const struct boot_times *t = f ? times_of(f->sku) : NULL;
+    return t ? boots_expected_of(t->took_s, t->n, startup_of(f)) : startup_of(f) * PROMISED_TIMES;
+}
+
+bool boots_overdue(const struct machine *m) {
+    return !m->up && base_time_of_day() - m->born > boots_expected(cloud_flavour(m->sku));
+}
+
+double boots_limit(const struct machine *m) { return LIMIT_TIMES * startup_of(cloud_flavour(m->sku)) + LIMIT_MORE_S; }
+
+int boots_replaced_most(int up) { return MAX(REPLACED_LEAST, up / REPLACED_PART); }
--- /dev/null
+++ b/src/boots/boots.h
@@ -0,0 +1,26 @@
+/* How long machines take to come up, learned from those that did, and which of them are overdue.
+ *
+ * A machine that is overdue is no supply any more: what was to run on it is planned elsewhere and, within bounds,
+ * another one is rented. If it comes up after all it is used or given back like any other. What is overdue follows from
+ * the time of its rental, which is on record, so that a new owner sees the same. */
+#ifndef FF_BOOTS_H
+#define FF_BOOTS_H
+#include "../records/records.h"
+
+#define BOOTS_REMEMBERED 32 /* of each type */
+
+/* All with store_lock held. */
+
+/* The machine, rented so long ago, has just been heard for the first time. */
+void boots_note(const char *sku, double took_s);
+/* After how long a machine of the type is overdue. */
+double boots_expected(const struct flavour_info *flavour);
+bool boots_overdue(const struct machine *m);
+/* After how long a machine is taken for one that never comes up. */
+double boots_limit(const struct machine *m);
+
+/* Pure: the time that all but a few of these took, with a margin; what the type promises where too few were seen. */
+double boots_expected_of(const double *took_s, int n, double startup_s);
+/* Pure: how many machines that are overdue may be replaced at a time, of so many that are up. */
+int boots_replaced_most(int up);
+#endif
--- /dev/null
+++ b/src/failures/failures_test.c
@@ -0,0 +1,193 @@
+/* Who is at fault when tasks fail: the job, the machine, or neither yet. */
+#include "failures/failures.h"
+
+#include <string.h>
+
+#include "../../tests/standin/owned.h"
+#include "../../tests/standin/site.h"
+#include "../../tests/standin/state.h"
+#include "bookings/bookings.h"
+#include "rounds/rounds.h"
+#include "watch/watch.h"
+
+enum { MACHINES = 4, JOBS = 3 };
+
+static struct settings cfg;
+static struct machine *machines[MACHINES];
+static struct job *jobs[JOBS];
+
+static void begin(const char *shape, int tasks) {
+    char name[32];
+    for (int i = 0; i < MACHINES; i++) {
+        g_snprintf(name, sizeof name, "i-%06d", 500 + i);
+        machines[i] = owned_machine(name, "za", false);
+    }
+    for (int i = 0; i < JOBS; i++) {
+        static int next = 600000;
+        g_snprintf(name, sizeof name, "req-%d", next++);
+        jobs[i] = owned_job(name, shape, "high", tasks, 1, 1, false, true, 10);
+    }
+}
+
+/* Each step is a job and a machine: "0a" is a failure of job 0 on machine a, "0+" a success of job 0. */
+static void evidence(void **state) {
+    (void)state;
+    static const struct {
+        const char *what, *steps;
+        bool suspect;   /* job 0 */
+        bool faulty;    /* machine a */
+        int of_machine; /* what counts against machine a */
+    } rows[] = {
+        {"one failure", "0a", false, false, 1},
+        {"one job on one machine again and again", "0a 0a 0a", false, false, 1},
+        {"one job on two machines", "0a 0b", true, false, 0},
+        {"three jobs on one machine", "0a 1a 2a", false, true, 3},
+        {"two of them", "0a 1a", false, true, 2},
+        {"two of them, one of which fails elsewhere as well", "0a 1a 1b", false, false, 1},
+        {"both fail elsewhere as well", "0a 1a 1b 0c", true, false, 0},
+        {"a job that has completed a task is sound", "0a 0+ 0b", false, false, 1},
+        {"a suspect job that completes a task is sound again", "0a 0b 0+", false, false, 1},
+        {"and is suspect once more only by two more machines", "0a 0b 0+ 0c", false, false, 1},
+    };
+    store_lock();
+    for (size_t r = 0; r < G_N_ELEMENTS(rows); r++) {
+        begin("batch", 5);
+        for (const char *p = rows[r].steps; *p; p += strcspn(p, " "), p += strspn(p, " ")) {
+            struct job *j = jobs[p[0] - '0'];
+            if (p[1] == '+')
+                failures_note_success(j);
+            else
+                failures_note(j, machines[p[1] - 'a']);
+        }
+        bool suspect = failures_suspect(jobs[0]), faulty = failures_machine_faulty(machines[0]);
+        int count = failures_of_machine(machines[0]);
+        owned_clear();
+        if (suspect != rows[r].suspect) fail_msg("%s: suspect is %d", rows[r].what, suspect);
+        if (faulty != rows[r].faulty) fail_msg("%s: faulty is %d", rows[r].what, faulty);
+        if (count != rows[r].of_machine) fail_msg("%s: %d against the machine", rows[r].what, count);
+    }
+    store_unlock();
+}
+
+static void pauses_grow_and_are_bounded(void **state) {
+    (void)state;
+    double before = 0;
+    for (int tries = 1; tries < 1000; tries++) {
+        double pause = failures_retry_s(tries);
+        assert_true(pause >= before && pause <= FAILURES_RETRY_MOST_S);
+        before = pause;
+    }
+    assert_true(before >= FAILURES_RETRY_MOST_S);
+    assert_true(failures_retry_s(1) <= 2);
+}
+
+/* A suspect job is tried with one task, after its pause, behind all others, and rents and stops nothing. */
+static void suspect_is_tried_with_one_task(void **state) {
+    (void)state;
+    store_lock();
+    begin("batch", 30);
+    for (int i = 0; i < MACHINES; i++) failures_note(jobs[0], machines[i]);
+    struct round *waiting = rounds_decide(0, 20);
+    int planned_waiting = rounds_planned(waiting, jobs[0]->spec.uid);
+    rounds_round_free(waiting);
+    jobs[0]->retry_at = base_now();
+    /* The other two ask for more than there is: nothing is left for the suspect one, and it asks for no machine. */
+    struct round *full = rounds_decide(0, 20);
+    int planned_full = rounds_planned(full, jobs[0]->spec.uid);
+    bool unplaced = jobs[0]->unplaced;
+    rounds_round_free(full);
+    jobs[1]->retry_at = jobs[2]->retry_at = base_wall_in(base_span(60));
+    struct round *tried = rounds_decide(0, 20);
+    int planned_tried = rounds_planned(tried, jobs[0]->spec.uid);
+    rounds_round_free(tried);
+    owned_clear();
+    store_unlock();
+    assert_int_equal(planned_waiting, 0);
+    assert_int_equal(planned_full, 0);
+    assert_false(unplaced);
+    assert_int_equal(planned_tried, 1);
+}
+
+/* The record tells the next owner, also when nothing is booked. The last of the tests: the share is another's after
+ * it. */
+static void count_survives_a_change_of_owner(void **state) {
+    (void)state;
+    store_lock();
+    begin("batch", 30);
+    struct job *j = jobs[0];
+    failures_note(j, machines[0]);
+    assert_null(bookings_value(j, 0, bookings_stretch(j), NULL, false));
+    failures_note(j, machines[1]);
+    assert_true(bookings_differ(j, 0));
+    cJSON *value = bookings_value(j, 0, bookings_stretch(j), NULL, false);
+    int64_t tries = 0;
+    assert_true(base_int(value, "e", &tries));
+    assert_int_equal(tries, 1);
+    char key[96];
+    bookings_key(j, 0, key, sizeof key);
+    store_apply(key, value, owned_next_stamp());
+    cJSON_Delete(value);
+    assert_false(bookings_differ(j, 0));
+    /* Another owner: all that it knows is the record. */
+    owned_put("share/0", "{\"owner\":\"n1\",\"inc\":\"x\",\"fence\":77}");
+    j->failed_tries = 0;
+    owned_put(key, "{\"e\":5}");
+    int read = j->failed_tries;
+    owned_put(key, "{\"e\":-3}");
+    int damaged = j->failed_tries;
+    owned_put(key, NULL);
+    int gone = j->failed_tries;
+    assert_int_equal(read, 5);
+    assert_int_equal(damaged, 0);
+    assert_int_equal(gone, 0);
+    store_unlock();
+}
+
+/* A faulty machine gets no more work at once, and is returned unless the jobs soon prove to be at fault. */
+static void faulty_machine_is_returned(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        bool elsewhere; /* both jobs fail on another machine, too */
+        double s;
+        bool open, back;
+    } rows[] = {
+        {"just now", false, 0, false, false},
+        {"for a while", false, 10, false, true},
+        {"its jobs fail elsewhere as well", true, 10, true, false},
+    };
+    for (size_t r = 0; r < G_N_ELEMENTS(rows); r++) {
+        store_lock();
+        begin("batch", 5);
+        for (int i = 0; i < 2; i++) failures_note(jobs[i], machines[0]);
+        watch_machines(0, MACHINES, MACHINES);
+        for (int i = 0; rows[r].elsewhere && i < 2; i++) failures_note(jobs[i], machines[1]);
+        if (machines[0]->faulty_since.tv_sec) machines[0]->faulty_since.tv_sec -= (time_t)rows[r].s;
+        rounds_scratch(0);
+        bool open = machines[0]->open;
+        watch_machines(0, MACHINES, MACHINES);
+        bool back = machines[0]->want_return;
+        owned_clear();
+        store_unlock();
+        if (open != rows[r].open) fail_msg("%s: open is %d", rows[r].what, open);
+        if (back != rows[r].back) fail_msg("%s: returned is %d", rows[r].what, back);
+    }
+}
+
+int main(void) {
+    char err[256];
+    char *text = site_json();
+    if (!settings_parse(text, "f.json", &cfg, err, sizeof err) || !standin_state_start(cfg.state)) return 1;
+    g_free(text);
+    owned_start(&cfg);
+    store_lock();
+    owned_put("types",
+              "{\"flavours\":[{\"sku\":\"g16\",\"vcpus\":16,\"gpus\":2,\"memory_gb\":64,\"hourly\":7,"
+              "\"market_price\":2,\"startup_s\":25,\"sites\":[\"za\",\"zb\",\"zc\"]}]}");
+    store_unlock();
+    const struct CMUnitTest tests[] = {cmocka_unit_test(evidence), cmocka_unit_test(pauses_grow_and_are_bounded),
+                                       cmocka_unit_test(suspect_is_tried_with_one_task),
+                                       cmocka_unit_test(faulty_machine_is_returned),
+                                       cmocka_unit_test(count_survives_a_change_of_owner)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -121,20 +121,21 @@
     j->n_touched++;
 }
 
-static void count_bits(struct job *j) {
-    j->n_done = j->n_pend = 0;
-    for (int i = 0; i < j->spec.tasks; i++) {
-        j->n_done += jobs_bit(j->done, i);
-        j->n_pend += jobs_bit(j->pend, i);
-    }
+/* Counts the bits of so many tasks from one at the start of a byte. */
+static int count_bits(const uint8_t *bits, int from, int n) {
+    int count = 0;
+    for (int i = from; i < from + n; i++) count += jobs_bit(bits, i);
+    return count;
 }
 
 void jobs_done_bits(struct job *j, const char *bits, int from, int n) {
     if (!j->done || from >= j->spec.tasks) return;
     n = MIN(n, j->spec.tasks - from);
+    int done_before = count_bits(j->done, from, n), pend_before = count_bits(j->pend, from, n);
     jobs_bits_read(bits, j->done, from, n);
     jobs_bits_read(bits, j->pend, from, n);
-    count_bits(j);
+    j->n_done += count_bits(j->done, from, n) - done_before;
+    j->n_pend += count_bits(j->pend, from, n) - pend_before;
 }
 
 /* Jobs with prerequisites stand under a name of their own: the first version, which knows none, must not start them
--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -36,10 +36,13 @@
     /* owner's side */
     struct timespec touched; /* since when something waits to be written */
     struct timespec retry_at;
-    int failures;
-    const char *zone; /* where machines are being gathered for a gang that stays together; NULL: not decided */
-    int at_risk;      /* replicas on machines that went silent with their zone: they may have to start elsewhere soon */
-    bool unplaced;    /* tasks found no place in the last round */
+    /* kept by failures */
+    int failed_tries;          /* since it is suspect; 0: it is not */
+    int failed_tries_recorded; /* what its first record of bookings says of them */
+    GPtrArray *failed_on;      /* ids of machines, since a task of it last completed; NULL: none */
+    const char *zone;          /* where machines are being gathered for a gang that stays together; NULL: not decided */
+    int at_risk;   /* replicas on machines that went silent with their zone: they may have to start elsewhere soon */
+    bool unplaced; /* tasks found no place in the last round */
     struct timespec preempted;
 };
 
--- a/src/ledger/ledger.c
+++ b/src/ledger/ledger.c
@@ -3,11 +3,11 @@
 #include <math.h>
 
 #include "../bookings/bookings.h"
+#include "../boots/boots.h"
 #include "../membership/membership.h"
 #include "../placement/placement.h"
 #include "../preempt/preempt.h"
 #include "../rounds/rounds.h"
-#include "../watch/watch.h"
 
 static const struct settings *cfg;
 
@@ -82,7 +82,7 @@
         unsteady += short_of;
         /* One rented for waiting tasks stays until it has had its first. */
         if (m == reception || short_of || m->warning >= 0 ||
-            (!m->had_task && base_time_of_day() - m->born < watch_boot_limit(m)))
+            (!m->had_task && base_time_of_day() - m->born < boots_limit(m)))
             continue;
         g_array_append_val(order, c);
     }
--- a/src/placement/placement.c
+++ b/src/placement/placement.c
@@ -2,9 +2,11 @@
 
 #include <string.h>
 
+#include "../failures/failures.h"
+
 bool placement_fits(const struct machine *m, const struct job_spec *j) {
     const struct flavour_info *f = m->flavour;
-    if (!f) return false;
+    if (!f || m->used_tasks >= RECORDS_TASKS_MOST) return false;
     return m->used_cpu + j->vcpus <= f->vcpus + 1e-6 && m->used_gpu + j->gpus <= f->gpus + 1e-6 &&
            m->used_mem + j->memory_gb <= f->memory_gb + 1e-6;
 }
@@ -86,8 +88,8 @@
          * among machines that all have room: a fetch lasts longer than the whole wait a user accepts. */
         if (j->spec.reclaimable) score += m->spot ? 40 : 0;
         if (g_hash_table_contains(m->images, j->spec.image)) score += 10;
-        /* Faulty or slow ones last. */
-        score -= 60.0 * m->faults;
+        /* Where others have failed last, and where this job has, after these. */
+        score -= 60.0 * failures_of_machine(m) + (failures_known_on(j, m) ? 120.0 : 0);
         if (!best || score > best_score) {
             best = m;
             best_score = score;
@@ -100,4 +102,5 @@
     m->used_cpu += sign * s->vcpus;
     m->used_gpu += sign * s->gpus;
     m->used_mem += sign * s->memory_gb;
+    m->used_tasks += sign;
 }
--- a/src/records/records.c
+++ b/src/records/records.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "../cloud/cloud.h"
+#include "../failures/failures.h"
 #include "../membership/membership.h"
 #include "../rounds/rounds.h"
 
@@ -76,6 +77,7 @@
     g_ptr_array_free(m->bookings, TRUE);
     g_array_free(m->unknown_tasks, TRUE);
     g_hash_table_destroy(m->images);
+    failures_forget_machine(m);
     g_free(m);
 }
 
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -5,7 +5,8 @@
 
 #define RECORDS_WINDOW 64
 #define RECORDS_SHARES 64
-#define RECORDS_PAGES 256 /* a share's pages are numbered below this */
+#define RECORDS_TASKS_MOST 200 /* booked on a machine at a time: reports and answers stay far below 64 KiB */
+#define RECORDS_PAGES 256      /* a share's pages are numbered below this */
 
 enum task_state { TASK_UNSEEN, TASK_FETCHING, TASK_GATHERING, TASK_RUNNING, TASK_FLUSHING, TASK_ENDED };
 
@@ -13,6 +14,7 @@
 struct booking {
     struct job *job;
     struct machine *m;
+    guint at_job, at_machine; /* where it stands in their lists */
     int task;
     int64_t attempt;
     /* owner's side */
@@ -66,7 +68,8 @@
     double occ[RECORDS_WINDOW][3];
     int rows;
     GHashTable *images;
-    int faults;
+    struct timespec faulty_since; /* zero: it is not */
+    GPtrArray *failed_jobs;       /* struct job, kept by failures; NULL: none */
     bool draining, want_return, dead, had_task;
     int transfer_to; /* share that it is to pass to, -1: none */
     struct timespec transfer_since;
@@ -76,6 +79,7 @@
     int64_t next_fence;
     int next_page;
     double occupancy, used_cpu, used_gpu, used_mem;
+    int used_tasks;
 };
 
 struct records_unregistered { /* rented or found, not yet recorded */
--- a/src/renting/renting.c
+++ b/src/renting/renting.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "../bookings/bookings.h"
+#include "../boots/boots.h"
 #include "../cloud/cloud.h"
 #include "../membership/membership.h"
 #include "../placement/placement.h"
@@ -135,7 +136,8 @@
     int share;
     GArray *vms;     /* struct renting_vm: there with room, on their way, and ordered */
     guint first_new; /* those from here on are ordered by this plan */
-    int have, ordered, steady;
+    int have, ordered, steady, up;
+    int overdue;           /* machines that should have come up by now */
     bool roomy;            /* another machine than the reception is below the admission threshold */
     bool booting;          /* machines are on their way */
     double backlog, slots; /* work that may use cheap machines, in GPU seconds, and the GPUs that work it off */
@@ -154,6 +156,9 @@
     }
     if (!m->up) {
         if (watch_zone_cut(p->share, m->site)) return; /* nobody knows when it is heard */
+        /* Nor when this one comes, if ever. More than a few at a time are not replaced: a spell of slow boots must not
+         * multiply the bill. */
+        if (boots_overdue(m) && p->overdue++ < boots_replaced_most(p->up)) return;
         renting_vm_add(p->vms, m->sku, m->site, m->spot);
         p->booting = true;
         return;
@@ -171,6 +176,8 @@
 
 static void count_machines(struct share_plan *p) {
     memset(zone_count, 0, sizeof zone_count);
+    for (guint i = 0; i < records_of(p->share)->len; i++)
+        p->up += ((struct machine *)records_of(p->share)->pdata[i])->up;
     for (guint i = 0; i < records_of(p->share)->len; i++) count_machine(p, records_of(p->share)->pdata[i]);
     GHashTableIter it;
     gpointer v;
--- a/src/rounds/plan.c
+++ b/src/rounds/plan.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "../bookings/bookings.h"
+#include "../failures/failures.h"
 #include "../preempt/preempt.h"
 #include "round.h"
 
@@ -103,6 +104,11 @@
 }
 
 #define PLANS_MOST 600
+#define PREEMPT_AGAIN_S 3 /* time for what was stopped to make way */
+
+static bool may_preempt(const struct job *j, bool within) {
+    return (within || j->rank > RANK_IDLE) && !failures_suspect(j) && base_since(j->preempted) > PREEMPT_AGAIN_S;
+}
 
 /* Arrays and services, task by task. True if a task found no place. */
 static bool plan_tasks(struct round *r, struct job *j, bool within, int missing, GPtrArray *mine, GPtrArray *room,
@@ -115,6 +121,7 @@
         if (!x->over) busy[x->task / 8] |= (uint8_t)(1 << (x->task % 8));
     }
     bool unplaced = false;
+    struct machine *last = NULL;
     for (int t = 0; t < j->spec.tasks && missing > 0; t++) {
         if (jobs_bit(busy, t)) continue;
         if (!preempt_quota_left(&u[j->spec.team], &j->spec, 1)) break;
@@ -122,8 +129,12 @@
             r->more = true;
             break;
         }
-        struct machine *m = placement_pick(room, j, NULL, rules, r->plans);
-        if ((!m || preempt_fetch_too_slow(j, m)) && (within || j->rank > RANK_IDLE) && base_since(j->preempted) > 3) {
+        /* What was best for a task is best for the next one like it, as long as it has room. */
+        struct machine *m = last && !j->spec.spread && placement_fits(last, &j->spec)
+                                ? last
+                                : placement_pick(room, j, NULL, rules, r->plans);
+        last = m;
+        if ((!m || preempt_fetch_too_slow(j, m)) && may_preempt(j, within)) {
             bool any = false;
             for (int w = 0; w < missing && w < 32; w++) {
                 if (!preempt_for(j, within, mine, NULL, u)) break;
@@ -160,6 +171,7 @@
     int booked = bookings_count(j);
     if (booked == 0) {
         if (j->n_pend == j->spec.tasks || plan_gang(r, j, room, rules, u)) return false;
+        if (failures_suspect(j)) return true;
         int now, with;
         const char *zone = preempt_gang_zone(j, within, mine, &now, &with);
         if (with < j->spec.tasks && j->zone) zone = j->zone;
@@ -173,7 +185,7 @@
                 placement_take(m, &j->spec, 1);
         }
         /* Only if all of it gets room by that: a gang that lacks one place runs as little as one that lacks all. */
-        if ((within || j->rank > RANK_IDLE) && with >= j->spec.tasks && base_since(j->preempted) > 3) {
+        if (with >= j->spec.tasks && may_preempt(j, within)) {
             bool any = false;
             for (int t = (int)kept; t < j->spec.tasks; t++) any |= preempt_for(j, within, mine, zone, u);
             if (any) j->preempted = base_now();
@@ -244,13 +256,20 @@
 static void mark_unplaced(int k, const GArray *order, guint from, const int *missing, struct free_room free) {
     for (guint i = from; i < order->len; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        if (missing[i] <= 0 || waits_to_retry(j)) continue;
+        if (missing[i] <= 0 || waits_to_retry(j) || failures_suspect(j)) continue;
         take_free(&free, j, missing[i]);
         j->unplaced = free.cpu < 0 || free.gpu < 0;
         records_shares[k].fit_nowhere |= j->unplaced;
     }
 }
 
+/* Of a job that fails wherever it runs one task at a time is tried, or the gang that it is. */
+static int tasks_to_place(const struct job *j) {
+    int missing = rounds_missing(j);
+    if (!failures_suspect(j) || j->spec.shape == JOB_GROUP) return missing;
+    return bookings_count(j) > 0 ? 0 : MIN(missing, 1);
+}
+
 void round_plan_jobs(struct round *r, int k) {
     GArray *order = rounds_rank(k);
     GPtrArray *mine = records_of(k);
@@ -263,7 +282,7 @@
     int *missing = g_new0(int, order->len + 1);
     for (guint i = 0; i < order->len; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        missing[i] = rounds_missing(j);
+        missing[i] = tasks_to_place(j);
         if (missing[i] <= 0) j->unplaced = false;
     }
     GPtrArray *room = machines_with_room(mine, order, missing);
@@ -284,6 +303,7 @@
         j->unplaced = j->spec.shape == JOB_GROUP ? plan_group(r, j, within, mine, room, &rules, u)
                                                  : plan_tasks(r, j, within, missing[i], mine, room, &rules, u);
         jobs_planned += r->plans->len > before;
+        if (failures_suspect(j)) j->unplaced = false; /* it waits for room, and has none rented */
         if (j->unplaced) records_shares[k].fit_nowhere = true;
     }
     /* Only what stays planned is written: a gang's tries that came to nothing are not. */
--- a/src/rounds/rank.c
+++ b/src/rounds/rank.c
@@ -1,7 +1,9 @@
 /* The order among a share's unfinished jobs. */
 #include <string.h>
 
+#include "../bookings/bookings.h"
 #include "../chains/chains.h"
+#include "../failures/failures.h"
 #include "round.h"
 
 #define WAIT_BOUND 90
@@ -34,6 +36,9 @@
 
 static int rank_order(gconstpointer a, gconstpointer b) {
     const struct rounds_ranked *x = a, *y = b;
+    /* What fails wherever it runs delays nobody. */
+    bool x_suspect = failures_suspect(x->j), y_suspect = failures_suspect(y->j);
+    if (x_suspect != y_suspect) return y_suspect ? -1 : 1;
     if (x->within != y->within) return x->within ? -1 : 1;
     if (x->j->rank != y->j->rank) return x->j->rank > y->j->rank ? -1 : 1;
     if (x->due != y->due) return x->due < y->due ? -1 : 1;
@@ -52,11 +57,12 @@
         struct job *j = jobs->pdata[i];
         if (j->spec.team < 0 || chains_waits(j)) continue;
         const struct settings_team *t = &round_settings->teams[j->spec.team];
-        int left = j->spec.tasks - j->n_pend;
+        int left = failures_suspect(j) ? bookings_count(j) : j->spec.tasks - j->n_pend;
         cpu[j->spec.team] += left * j->spec.vcpus;
         gpu[j->spec.team] += left * j->spec.gpus;
         struct rounds_ranked r = {j,
-                                  rounds_has_guarantee(t) && (t->cpus <= 0 || cpu[j->spec.team] <= t->cpus + 1e-6) &&
+                                  rounds_has_guarantee(t) && !failures_suspect(j) &&
+                                      (t->cpus <= 0 || cpu[j->spec.team] <= t->cpus + 1e-6) &&
                                       (t->gpus <= 0 || gpu[j->spec.team] <= t->gpus + 1e-6),
                                   MIN(due_of(j, now), j->deadline)};
         g_array_append_val(out, r);
--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -5,6 +5,7 @@
 #include "../bookings/bookings.h"
 #include "../chains/chains.h"
 #include "../cloud/cloud.h"
+#include "../failures/failures.h"
 #include "../ledger/ledger.h"
 #include "../membership/membership.h"
 #include "../placement/placement.h"
@@ -44,6 +45,7 @@
         m->next_page = -1;
         m->occupancy = placement_occupancy(m, (int)round_settings->tuning.window);
         m->used_cpu = m->used_gpu = m->used_mem = 0;
+        m->used_tasks = 0;
         for (guint b = 0; b < m->bookings->len; b++) {
             struct booking *x = m->bookings->pdata[b];
             if (x->over) {
@@ -53,11 +55,12 @@
             m->used_cpu += x->job->spec.vcpus;
             m->used_gpu += x->job->spec.gpus;
             m->used_mem += x->job->spec.memory_gb;
+            m->used_tasks++;
         }
         m->open = m->up && m->page >= 0 && m->flavour && !records_leaving(m) && !m->draining && m->transfer_to < 0 &&
-                  m->warning < 0 && !m->need_raise && !m->unknown && m->ignored == 0 &&
-                  m->seen_fence >= records_token(m) && base_since(m->reported) < quiet && m->bookings->len < 200 &&
-                  !watch_zone_cut(k, m->site);
+                  m->warning < 0 && !m->need_raise && !m->unknown && m->ignored == 0 && !failures_machine_faulty(m) &&
+                  m->seen_fence >= records_token(m) && base_since(m->reported) < quiet &&
+                  m->bookings->len < RECORDS_TASKS_MOST && !watch_zone_cut(k, m->site);
     }
 }
 
--- a/src/transfer/transfer.c
+++ b/src/transfer/transfer.c
@@ -2,6 +2,7 @@
 
 #include "../bookings/bookings.h"
 #include "../cloud/cloud.h"
+#include "../failures/failures.h"
 #include "../membership/membership.h"
 #include "../placement/placement.h"
 #include "../preempt/preempt.h"
@@ -48,6 +49,18 @@
     return f && (cpu >= f->vcpus - 1e-6 || (f->gpus > 0 && gpu >= f->gpus - 1e-6));
 }
 
+/* Whether the machines have room for so many tasks of the job; they are counted in. Each machine is looked at once: an
+ * array of 25,000 tasks, each looking at all machines, once took more processor time than all else. */
+static bool takes_all(GArray *vms, const struct job *j, int tasks) {
+    const char *site = placement_site(j);
+    for (guint y = 0; y < vms->len && tasks > 0; y++) {
+        struct renting_vm *v = &g_array_index(vms, struct renting_vm, y);
+        if (zone_full(j, v->o.site)) continue;
+        while (tasks > 0 && renting_vm_takes(v, j, site)) tasks--;
+    }
+    return tasks <= 0;
+}
+
 /* The first job of another share that waits for a machine none of its own can give: every controller mirrors all
  * records, so that the donor sees it without being asked. */
 static struct job *needy_job(int s, bool reclaimable, bool *within) {
@@ -73,23 +86,15 @@
     GArray *order = rounds_rank(s);
     for (guint i = 0; i < order->len && !found; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        if (j->spec.reclaimable != reclaimable || base_since(j->seen) < 0.4) continue;
+        if (j->spec.reclaimable != reclaimable || failures_suspect(j) || base_since(j->seen) < 0.4) continue;
         const struct settings_team *t = &cfg->teams[j->spec.team];
         int left = rounds_missing(j), tasks = j->spec.shape == JOB_BATCH ? 1 : left;
         if (left <= 0 ||
             (t->gpus_max > 0 && preempt_beyond(j->spec.team) + t->gpus + tasks * j->spec.gpus > t->gpus_max))
             continue;
-        const char *site = placement_site(j);
-        for (int n = 0; n < left && !found; n++) {
-            bool taken = false;
-            for (guint y = 0; y < vms->len && !taken; y++) {
-                struct renting_vm *v = &g_array_index(vms, struct renting_vm, y);
-                taken = !zone_full(j, v->o.site) && renting_vm_takes(v, j, site);
-            }
-            if (!taken) {
-                found = j;
-                *within = g_array_index(order, struct rounds_ranked, i).within;
-            }
+        if (!takes_all(vms, j, left)) {
+            found = j;
+            *within = g_array_index(order, struct rounds_ranked, i).within;
         }
     }
     g_array_free(order, TRUE);
--- a/src/watch/watch.c
+++ b/src/watch/watch.c
@@ -5,7 +5,9 @@
 #include <string.h>
 
 #include "../bookings/bookings.h"
+#include "../boots/boots.h"
 #include "../cloud/cloud.h"
+#include "../failures/failures.h"
 #include "../membership/membership.h"
 #include "../workers/workers.h"
 
@@ -20,11 +22,6 @@
     return MAX(base_secs(cfg->tuning.silent_return), base_secs(cfg->report) * 1.25 + 4);
 }
 
-double watch_boot_limit(const struct machine *m) {
-    const struct flavour_info *f = cloud_flavour(m->sku);
-    return 3.5 * (f && f->startup_s > 0 ? f->startup_s : 60) + 10;
-}
-
 bool watch_try_workers(struct http_client *c) {
     char urls[3][128];
     int n = 0;
@@ -153,6 +150,19 @@
     return false;
 }
 
+#define FAULTY_S 5.0 /* time for other machines to show that a job is at fault */
+
+/* A machine on which different jobs fail has got no work since it showed; it goes unless the jobs prove to be at fault.
+ */
+static bool faulty_for_long(struct machine *m) {
+    if (!failures_machine_faulty(m)) {
+        m->faulty_since = (struct timespec){0, 0};
+        return false;
+    }
+    if (!m->faulty_since.tv_sec) m->faulty_since = base_now();
+    return base_since(m->faulty_since) > FAULTY_S;
+}
+
 void watch_machines(int k, int up, int heard) {
     for (guint i = 0; i < jobs_active_of(k)->len; i++) ((struct job *)jobs_active_of(k)->pdata[i])->at_risk = 0;
     struct zone_watch zones[SETTINGS_ZONES];
@@ -195,7 +205,11 @@
             log_info("machine %s: silent for %.0f s, returning it", m->id, base_since(m->heard));
             m->want_return = true;
         }
-        if (!m->up && base_time_of_day() - m->born > watch_boot_limit(m) && base_since(m->mine_since) > 20) {
+        if (m->up && faulty_for_long(m)) {
+            log_info("machine %s: different jobs fail on it, returning it", m->id);
+            m->want_return = true;
+        }
+        if (!m->up && base_time_of_day() - m->born > boots_limit(m) && base_since(m->mine_since) > 20) {
             log_info("machine %s: never came up, returning it", m->id);
             m->want_return = true;
         }
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -4,7 +4,6 @@
 #include "../records/records.h"
 
 void watch_init(const struct settings *s);
-double watch_boot_limit(const struct machine *m);
 bool watch_try_workers(struct http_client *c); /* without the lock: whether one of a few workers answers */
 void watch_count_heard(int *up, int *heard, int *reported);
 /* Pure: after how long without a word from any of so many machines of a zone the zone counts as cut off. */
--- a/src/workers/commands.c
+++ b/src/workers/commands.c
@@ -111,7 +111,7 @@
 static void end_cancelled_elsewhere(struct machine *m) {
     cJSON *orders = NULL;
     if (!m->address[0] || m->bookings->len == 0 || base_since(m->asked_to_end) < END_AGAIN_S) return;
-    for (guint i = 0; i < m->bookings->len && i < 200; i++) {
+    for (guint i = 0; i < m->bookings->len && i < RECORDS_TASKS_MOST; i++) {
         struct booking *b = m->bookings->pdata[i];
         char task[96];
         if (b->over || !b->job->told_cancelled || b->asked_to_end >= END_TRIES) continue;
--- a/src/workers/orders.c
+++ b/src/workers/orders.c
@@ -25,7 +25,7 @@
     cJSON *list = cJSON_CreateArray();
     bool ours = m->seen_fence >= records_token(m); /* first the token, then orders, but for stops that can't wait */
     bool may_start = membership_may_start();
-    for (guint i = 0; i < m->unknown_tasks->len && i < 200; i++) {
+    for (guint i = 0; i < m->unknown_tasks->len && i < RECORDS_TASKS_MOST; i++) {
         struct unknown_task *s = &g_array_index(m->unknown_tasks, struct unknown_task, i);
         /* As long as the worker lists an attempt, a start of it that still comes does nothing. */
         if (s->ended && (!ours || m->unknown || workers_start_on_its_way(m))) continue;
@@ -34,7 +34,7 @@
         else
             workers_add_order(list, "stop", s->task, s->attempt, 0);
     }
-    for (guint i = 0; ours && i < m->bookings->len && i < 200; i++) {
+    for (guint i = 0; ours && i < m->bookings->len && i < RECORDS_TASKS_MOST; i++) {
         struct booking *b = m->bookings->pdata[i];
         char task[96];
         if (b->over) continue;
--- a/src/workers/reports.c
+++ b/src/workers/reports.c
@@ -3,10 +3,14 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "../boots/boots.h"
+#include "../failures/failures.h"
 #include "../rounds/rounds.h"
 #include "internal.h"
 
 #define BOOKINGS_MOST 256 /* of a machine */
+#define PROVEN_S 30.0     /* a replica that has run for so long shows that its job is sound */
+#define RENTAL_S 5.0      /* a rental is recorded within that time */
 #define PROBE_S 1.5       /* between questions to a machine that shows an older token */
 
 /* A command that may carry starts is on its way. One that only asks does not count: a machine whose last start is in
@@ -25,17 +29,17 @@
     b->over = true;
     jobs_touch(j, b->task);
     if (cause && strcmp(cause, "done") == 0) {
-        if (j->state == JOB_QUEUED) jobs_mark_done(j, b->task);
+        if (j->state == JOB_QUEUED) {
+            jobs_mark_done(j, b->task);
+            failures_note_success(j);
+        }
         return;
     }
     log_debug("task %s/%d on %s ended: %s", j->spec.uid, b->task, b->m->id, cause ? cause : "?");
     if (!cause || j->state != JOB_QUEUED) return;
     if (strcmp(cause, "error") == 0) {
-        /* On one machine the machine is suspect, on several the job. */
-        b->m->faults++;
-        j->failures++;
-        j->retry_at = base_wall_in(base_span(MIN(60, 1 << MIN(j->failures, 6))));
-        log_info("task %s/%d failed on machine %s (%d times for the job)", j->spec.uid, b->task, b->m->id, j->failures);
+        log_info("task %s/%d failed on machine %s", j->spec.uid, b->task, b->m->id);
+        failures_note(j, b->m);
     } else if (strcmp(cause, "unknown") == 0) {
         j->retry_at = base_wall_in(base_span(3));
     } else if (strcmp(cause, "no_room") == 0 || strcmp(cause, "busy") == 0) {
@@ -125,7 +129,12 @@
     /* The first answer may be to a question of ours, long after it was rented: its reports are due from now on. One in
      * sixteen machines was once returned the moment it came up, for not having reported. */
     if (checkin || !m->up) m->reported = m->heard;
-    if (!m->up) log_info("machine %s: up", m->id);
+    if (!m->up) {
+        log_info("machine %s: up", m->id);
+        /* Only who owned it all the while knows that this is its first word. */
+        if (!m->had_task && base_time_of_day() - m->born < base_since(m->mine_since) + RENTAL_S)
+            boots_note(m->sku, base_time_of_day() - m->born);
+    }
     m->up = true;
 }
 
@@ -154,6 +163,8 @@
     if (b->state != state) b->changed = b->m->heard;
     if (state == TASK_RUNNING && b->state != state) log_start(b, task);
     b->state = state;
+    if (state == TASK_RUNNING && b->job->spec.shape == JOB_STANDING && base_since(b->changed) > PROVEN_S)
+        failures_note_success(b->job);
     if ((state == TASK_RUNNING || state == TASK_GATHERING) && b->job->spec.image)
         g_hash_table_add(b->m->images, g_strdup(b->job->spec.image));
     if (state != TASK_ENDED || b->over) return false;
@@ -178,9 +189,7 @@
             g_array_append_val(m->unknown_tasks, unknown);
             continue;
         }
-        guint at = 0;
-        g_ptr_array_find(m->bookings, b, &at);
-        if (at < BOOKINGS_MOST) listed[at] = true;
+        if (b->at_machine < BOOKINGS_MOST) listed[b->at_machine] = true;
         change |= take_state(b, task, state, base_str(x, "cause"));
     }
     return change;
