--- a/src/service/service.c
+++ b/src/service/service.c
@@ -100,5 +100,11 @@
         jobs_active()->len, records_machines()->len, (now - last) / 10.0, store_budget_pace(false),
         store_budget_pace(true), base_since(store_verified()), answers, median, p95);
     store_unlock();
+    static struct store_changes before;
+    struct store_changes written = store_changes_written();
+    log_info("changes in 10 s: %u jobs, %u bookings, %u releases, %u pages, %u others", written.jobs - before.jobs,
+             written.bookings - before.bookings, written.releases - before.releases, written.pages - before.pages,
+             written.others - before.others);
+    before = written;
     last = now;
 }
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -184,6 +184,32 @@
     g_string_free(what, TRUE);
 }
 
+static struct store_changes changes;
+
+static void count_changes(const struct store_txn *t) {
+    const cJSON *op;
+    pthread_mutex_lock(&budget_lock);
+    cJSON_ArrayForEach(op, t->ops) {
+        const char *set = base_str(op, "set"), *key = set ? set : base_str(op, "remove");
+        if (g_str_has_prefix(key, "job/"))
+            changes.jobs++;
+        else if (g_str_has_prefix(key, "run/"))
+            ++*(set ? &changes.bookings : &changes.releases);
+        else if (g_str_has_prefix(key, "fleet/") || g_str_has_prefix(key, "machine/"))
+            changes.pages++;
+        else
+            changes.others++;
+    }
+    pthread_mutex_unlock(&budget_lock);
+}
+
+struct store_changes store_changes_written(void) {
+    pthread_mutex_lock(&budget_lock);
+    struct store_changes now = changes;
+    pthread_mutex_unlock(&budget_lock);
+    return now;
+}
+
 enum store_result store_multi(struct http_client *c, enum store_class cls, struct store_txn *t,
                               struct store_answer *a) {
     a->epoch = 0;
@@ -210,6 +236,7 @@
         }
     }
     if (r == STORE_BAD) log_bad(t);
+    if (r == STORE_OK) count_changes(t);
     free(body);
     cJSON_Delete(ans);
     return r;
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -52,6 +52,11 @@
 void store_mirror_start(void);
 void store_nudge(void);
 unsigned store_budget_used(void);
+/* Changes written so far, by what they change. */
+struct store_changes {
+    unsigned jobs, bookings, releases, pages, others; /* releases: records of bookings that were removed */
+};
+struct store_changes store_changes_written(void);
 int store_budget_room(enum store_class cls);              /* changes that the budget allows to the class now */
 double store_budget_pace(bool changes);                   /* how much more than its part is taken, of either rate */
 bool store_budget_calls_scarce(void);                     /* requests should be gathered into fewer */
