--- a/src/rounds/rank.c
+++ b/src/rounds/rank.c
@@ -6,7 +6,7 @@
 #include "../failures/failures.h"
 #include "round.h"
 
-#define WAIT_BOUND 90
+#define WAIT_BOUND 75 /* nobody is to wait 90 s beside room that fits */
 
 /* When the job is due: the first of the times named by its class's aims that it can still keep; past the last, twice
  * that, and so on. In an overload work that can't be in time any more steps back behind work that can, instead of
--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -19,6 +19,10 @@
 const struct settings *round_settings;
 
 #define LEAST_CHANGES 2 /* with less budget a round decides nothing */
+/* With less budget than this, what a job's record lacks waits a while: the ends of more of its tasks go with the same
+ * write. Written one by one they once took the changes that starts needed. */
+#define AMPLE_CHANGES 4
+#define GATHER_PROGRESS_S 3.0
 
 static struct base_wakeup wakeup;
 
@@ -106,7 +110,11 @@
         g_ptr_array_remove(late, j);
     }
     g_ptr_array_sort(late, longest_touched);
-    for (guint i = 0; i < late->len && r->left > 0; i++) round_write_job(r, late->pdata[i]);
+    for (guint i = 0; i < late->len && r->left > 0; i++) {
+        const struct job *j = late->pdata[i];
+        if (r->left < AMPLE_CHANGES && base_since(j->touched) < GATHER_PROGRESS_S) break; /* the rest is younger */
+        round_write_job(r, late->pdata[i]);
+    }
     r->more |= late->len > 0 && r->left <= 0;
     g_ptr_array_free(late, TRUE);
 }
