--- a/src/records/records.c
+++ b/src/records/records.c
@@ -313,13 +313,7 @@
 #define NEXT_PAGE_BYTES 104
 #define NEXT_ENTRY_BYTES 40
 
-/* How full a page is, by both measures. A page is filled only as far as the first version, which writes images into it,
- * can rewrite it under the present limit, and anyone under the next. */
-struct page_fill {
-    int present, next;
-};
-
-static void fill_add(struct page_fill *f, const char *id, bool kept) {
+static void fill_add(struct records_fill *f, const char *id, bool kept) {
     f->present += (int)strlen(id) + ADDRESS_BYTES + ENTRY_BYTES;
     if (kept) f->next += (int)strlen(id) + ADDRESS_BYTES + NEXT_ENTRY_BYTES;
 }
@@ -333,14 +327,14 @@
     return page_bytes(cfg->next_value_kb) - names;
 }
 
-static bool fill_fits(const struct page_fill *f) {
+static bool fill_fits(const struct records_fill *f) {
     return f->present <= page_bytes(cfg->value_kb) - PAGE_BYTES && (!limit_falls() || f->next <= next_page_room());
 }
 
 /* The page that a machine is on, or will be once this round is written. */
 static int page_of(const struct machine *m) { return m->next_page >= 0 ? m->next_page : m->page; }
 
-static void fill_pages(int k, struct page_fill *pages) {
+static void fill_pages(int k, struct records_fill *pages) {
     memset(pages, 0, RECORDS_PAGES * sizeof *pages);
     for (guint i = 0; i < of_share[k]->len; i++) {
         const struct machine *m = of_share[k]->pdata[i];
@@ -356,21 +350,28 @@
     }
 }
 
-int records_page_for(int k, const char *id) {
-    struct page_fill pages[RECORDS_PAGES];
-    fill_pages(k, pages);
+void records_fills(int k, struct records_fills *fills) { fill_pages(k, fills->pages); }
+
+int records_fills_add(struct records_fills *fills, const char *id) {
     for (int p = 0; p < RECORDS_PAGES; p++) {
-        bool empty = pages[p].present == 0;
-        fill_add(&pages[p], id, true);
-        if (empty || fill_fits(&pages[p])) return p;
+        struct records_fill before = fills->pages[p];
+        fill_add(&fills->pages[p], id, true);
+        if (before.present == 0 || fill_fits(&fills->pages[p])) return p;
+        fills->pages[p] = before;
     }
     return -1;
 }
 
+int records_page_for(int k, const char *id) {
+    struct records_fills fills;
+    records_fills(k, &fills);
+    return records_fills_add(&fills, id);
+}
+
 void records_large_pages(int k, bool *large) {
     memset(large, 0, RECORDS_PAGES * sizeof *large);
     if (!limit_falls()) return;
-    struct page_fill pages[RECORDS_PAGES];
+    struct records_fill pages[RECORDS_PAGES];
     fill_pages(k, pages);
     for (int p = 0; p < RECORDS_PAGES; p++) large[p] = pages[p].next > next_page_room();
 }
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -131,7 +131,19 @@
  * Scratch fields decide: `leave` keeps a machine out, `next_fence` raises its token, `next_page` brings one in, as does
  * an unregistered one's page. */
 cJSON *records_page_value(int k, int page, int *count);
-int records_page_for(int k, const char *id); /* a page with room for one more */
+/* How full a page is, by both measures. A page is filled only as far as the first version, which writes images into it,
+ * can rewrite it under the present limit, and anyone under the next. */
+struct records_fill {
+    int present, next;
+};
+/* How full a share's pages are: counted once, however many machines are then given places. */
+struct records_fills {
+    struct records_fill pages[RECORDS_PAGES];
+};
+void records_fills(int k, struct records_fills *fills);
+/* The page that the machine is to go to, counted in; -1: all are full. */
+int records_fills_add(struct records_fills *fills, const char *id);
+int records_page_for(int k, const char *id); /* for one machine alone */
 /* The pages that could not be rewritten under the service's next limit. Their machines are written to others, a page of
  * them at a time: a later record moves a machine whatever an older one says, so that no step leaves it on none, whoever
  * reads what in between. A page is rewritten once the rest has room, and is stale until then. */
--- a/src/rounds/write_pages.c
+++ b/src/rounds/write_pages.c
@@ -20,7 +20,7 @@
 #define MOVES_PAGES 2 /* pages that a round fills with machines of large ones */
 
 /* Gives machines of large pages a place on others, those first that are to be changed. */
-static void move_from_large(int k, struct page_plan *p, bool tidy) {
+static void move_from_large(int k, struct page_plan *p, struct records_fills *fills, bool tidy) {
     bool opened[RECORDS_PAGES] = {false};
     int pages = 0;
     for (int urgent = 1; urgent >= (tidy ? 0 : 1); urgent--)
@@ -29,7 +29,7 @@
             if (m->page < 0 || m->page >= RECORDS_PAGES || !p->large[m->page] || m->next_page >= 0) continue;
             bool change = m->need_raise || (m->want_return && !m->returning) || m->transfer_to >= 0;
             if (m->dead || (urgent && !change)) continue;
-            int to = records_page_for(k, m->id);
+            int to = records_fills_add(fills, m->id);
             if (to < 0 || (!opened[to] && pages == MOVES_PAGES)) return;
             pages += !opened[to];
             opened[to] = true;
@@ -59,7 +59,7 @@
     if (m->dead || m->unwritten) p->need[page] |= PAGE_LATER;
 }
 
-static void plan_machines(int k, struct page_plan *p) {
+static void plan_machines(int k, struct page_plan *p, struct records_fills *fills) {
     int incoming = 0;
     for (guint i = 0; i < records_of(k)->len; i++) {
         struct machine *m = records_of(k)->pdata[i];
@@ -67,12 +67,13 @@
             plan_machine(m, p);
             continue;
         }
-        if (incoming++ < round_settings->txn_ops / 2 && (m->next_page = records_page_for(k, m->id)) >= 0)
+        if (incoming++ < round_settings->txn_ops / 2 && (m->next_page = records_fills_add(fills, m->id)) >= 0)
             p->need[m->next_page] |= PAGE_NOW;
     }
 }
 
-static void plan_unregistered(int k, struct page_plan *p) {
+/* The places that the last round gave and did not write. */
+static void forget_places(int k) {
     GHashTableIter it;
     gpointer v;
     g_hash_table_iter_init(&it, records_unregistered_all());
@@ -80,10 +81,15 @@
         struct records_unregistered *c = v;
         if (c->share == k) c->page = -1;
     }
+}
+
+static void plan_unregistered(int k, struct page_plan *p, struct records_fills *fills) {
+    GHashTableIter it;
+    gpointer v;
     g_hash_table_iter_init(&it, records_unregistered_all());
     while (g_hash_table_iter_next(&it, NULL, &v)) {
         struct records_unregistered *c = v;
-        if (c->share == k && (c->page = records_page_for(k, c->id)) >= 0) p->need[c->page] |= PAGE_NOW;
+        if (c->share == k && (c->page = records_fills_add(fills, c->id)) >= 0) p->need[c->page] |= PAGE_NOW;
     }
 }
 
@@ -146,9 +152,12 @@
     bool tidy = base_since(records_shares[k].tidied) > TIDY_S;
     if (tidy) records_shares[k].tidied = base_now();
     records_large_pages(k, p.large);
-    move_from_large(k, &p, tidy);
-    plan_machines(k, &p);
-    plan_unregistered(k, &p);
+    struct records_fills fills;
+    forget_places(k);
+    records_fills(k, &fills);
+    move_from_large(k, &p, &fills, tidy);
+    plan_machines(k, &p, &fills);
+    plan_unregistered(k, &p, &fills);
     for (int page = 0; page < RECORDS_PAGES; page++)
         if (records_page_stale(k, page)) p.need[page] |= PAGE_LATER;
     if (p.raised) write_raises(r, k, &p);
--- a/tests/standin/owned.c
+++ b/tests/standin/owned.c
@@ -51,6 +51,42 @@
     return m;
 }
 
+void owned_fleet(struct machine **all, int n, bool spot) {
+    static const char *const zones[] = {"za", "zb", "zc"};
+    char id[32];
+    for (int i = 0; i < n; i++) {
+        g_snprintf(id, sizeof id, "i-%06d", 100000 + i);
+        records_rented(0, id, "g16", zones[i % 3], spot);
+    }
+    GHashTableIter it;
+    gpointer v;
+    struct records_fills fills;
+    records_fills(0, &fills);
+    g_hash_table_iter_init(&it, records_unregistered_all());
+    while (g_hash_table_iter_next(&it, NULL, &v)) {
+        struct records_unregistered *m = v;
+        m->page = records_fills_add(&fills, m->id);
+        assert_true(m->page >= 0);
+    }
+    cJSON *pages[RECORDS_PAGES];
+    int counts[RECORDS_PAGES];
+    for (int p = 0; p < RECORDS_PAGES; p++) pages[p] = records_page_value(0, p, &counts[p]);
+    for (int p = 0; p < RECORDS_PAGES; p++) {
+        g_snprintf(id, sizeof id, "fleet/0/%d", p);
+        if (counts[p]) store_apply(id, pages[p], owned_next_stamp());
+        cJSON_Delete(pages[p]);
+    }
+    assert_int_equal(records_of(0)->len, n);
+    for (int i = 0; i < n; i++) {
+        struct machine *m = all[i] = records_of(0)->pdata[i];
+        assert_true(records_mine(m));
+        m->up = true;
+        m->seen_fence = records_token(m);
+        m->reported = m->heard = base_now();
+        m->rows = 6;
+    }
+}
+
 struct job *owned_job(const char *uid, const char *shape, const char *rank, int tasks, double cpus, double gpus,
                       bool together, bool reclaimable, double age) {
     char *json = g_strdup_printf(
--- a/tests/standin/owned.h
+++ b/tests/standin/owned.h
@@ -13,6 +13,8 @@
 void owned_put(const char *key, const char *json); /* json NULL: the key goes */
 /* A steady machine of share 0 with a free room of 16 CPUs, 2 GPUs, 64 GB, on a page and up. */
 struct machine *owned_machine(const char *id, const char *zone, bool spot);
+/* So many of them, in all zones in turn, with their pages written at once. */
+void owned_fleet(struct machine **all, int n, bool spot);
 /* A job of team green, which is share 0's, accepted `age` seconds ago. */
 struct job *owned_job(const char *uid, const char *shape, const char *rank, int tasks, double cpus, double gpus,
                       bool together, bool reclaimable, double age);
