--- a/src/bookings/bookings.c
+++ b/src/bookings/bookings.c
@@ -41,12 +41,13 @@
     snprintf(key, n, "run/%s/%d", j->spec.uid, chunk);
 }
 
-bool bookings_booked(const struct job *j, int task) {
+uint8_t *bookings_bits(const struct job *j) {
+    uint8_t *bits = g_malloc0((gsize)j->spec.tasks / 8 + 1);
     for (guint i = 0; i < j->bookings->len; i++) {
         const struct booking *b = j->bookings->pdata[i];
-        if (b->task == task && !b->over) return true;
+        if (!b->over && b->task < j->spec.tasks) bits[b->task / 8] |= (uint8_t)(1 << (b->task % 8));
     }
-    return false;
+    return bits;
 }
 
 int bookings_count(const struct job *j) {
--- a/src/bookings/bookings.h
+++ b/src/bookings/bookings.h
@@ -17,9 +17,9 @@
 double bookings_value_most(void); /* bytes that a record written now may take */
 
 /* With store_lock held. */
-bool bookings_booked(const struct job *j, int task); /* not counting what is over */
-int bookings_count(const struct job *j);             /* likewise */
-int bookings_live(const struct machine *m);          /* likewise */
+uint8_t *bookings_bits(const struct job *j); /* which tasks are booked, not counting what is over; free it */
+int bookings_count(const struct job *j);     /* likewise */
+int bookings_live(const struct machine *m);  /* likewise */
 void bookings_stop(struct booking *b, double grace_s);
 void bookings_job_changed(struct job *j);
 /* The value of a chunk: done tasks (but not of a job whose end is recorded with it), bookings that are not over, and
--- a/src/rounds/plan.c
+++ b/src/rounds/plan.c
@@ -79,8 +79,10 @@
     if (!attempt || !preempt_quota_left(&u[j->spec.team], &j->spec, missing)) return false;
     guint from = r->plans->len;
     struct preempt_usage before = u[j->spec.team];
-    for (int t = 0; t < j->spec.tasks; t++) {
-        if (bookings_booked(j, t)) continue;
+    uint8_t *booked = bookings_bits(j);
+    bool replaced = true;
+    for (int t = 0; t < j->spec.tasks && replaced; t++) {
+        if (jobs_bit(booked, t)) continue;
         struct machine *m = placement_pick(mine, j, NULL, rules, r->plans);
         /* A machine that still holds this very attempt would do nothing. */
         if (m && !holds_ended(m, j->spec.uid, t, attempt)) {
@@ -91,8 +93,10 @@
             placement_take(g_array_index(r->plans, struct placement_plan, i).m, &j->spec, -1);
         g_array_set_size(r->plans, from);
         u[j->spec.team] = before;
-        return false;
+        replaced = false;
     }
+    g_free(booked);
+    if (!replaced) return false;
     log_info("gang %s: %d of its %d tasks replaced under the same attempt", j->spec.uid, missing, j->spec.tasks);
     return true;
 }
@@ -110,18 +114,32 @@
     return (within || j->rank > RANK_IDLE) && !failures_suspect(j) && base_since(j->preempted) > PREEMPT_AGAIN_S;
 }
 
+#define PREEMPTIONS_MOST 32 /* tasks that a round makes room for, of one job */
+
+/* Makes lower work make way for tasks of the job; true if any does. */
+static bool make_way(struct job *j, bool within, int tasks, GPtrArray *mine, const struct preempt_usage *u) {
+    if (!may_preempt(j, within)) return false;
+    int made = 0;
+    while (made < MIN(tasks, PREEMPTIONS_MOST) && preempt_for(j, within, mine, NULL, u)) made++;
+    if (made > 0) j->preempted = base_now();
+    return made > 0;
+}
+
+static int bookings_in_chunk(const struct job *j, int chunk, int stretch) {
+    int n = 0;
+    for (guint b = 0; b < j->bookings->len; b++)
+        n += ((struct booking *)j->bookings->pdata[b])->task / stretch == chunk;
+    return n;
+}
+
 /* Arrays and services, task by task. True if a task found no place. */
 static bool plan_tasks(struct round *r, struct job *j, bool within, int missing, GPtrArray *mine, GPtrArray *room,
                        const struct placement_rules *rules, struct preempt_usage *u) {
-    int size = bookings_write_stretch(j), chunk = -1, in_chunk = 0;
-    uint8_t *busy = g_malloc0((gsize)j->spec.tasks / 8 + 1);
-    memcpy(busy, j->pend, (gsize)j->spec.tasks / 8 + 1);
-    for (guint b = 0; b < j->bookings->len; b++) {
-        const struct booking *x = j->bookings->pdata[b];
-        if (!x->over) busy[x->task / 8] |= (uint8_t)(1 << (x->task % 8));
-    }
+    int stretch = bookings_write_stretch(j), chunk = -1, in_chunk = 0;
     bool unplaced = false;
     struct machine *last = NULL;
+    uint8_t *busy = bookings_bits(j);
+    for (int done = 0; done <= j->spec.tasks / 8; done++) busy[done] |= j->pend[done];
     for (int t = 0; t < j->spec.tasks && missing > 0; t++) {
         if (jobs_bit(busy, t)) continue;
         if (!preempt_quota_left(&u[j->spec.team], &j->spec, 1)) break;
@@ -130,33 +148,20 @@
             break;
         }
         /* What was best for a task is best for the next one like it, as long as it has room. */
-        struct machine *m = last && !j->spec.spread && placement_fits(last, &j->spec)
-                                ? last
-                                : placement_pick(room, j, NULL, rules, r->plans);
+        bool again = last && !j->spec.spread && placement_fits(last, &j->spec);
+        struct machine *m = again ? last : placement_pick(room, j, NULL, rules, r->plans);
         last = m;
-        if ((!m || preempt_fetch_too_slow(j, m)) && may_preempt(j, within)) {
-            bool any = false;
-            for (int w = 0; w < missing && w < 32; w++) {
-                if (!preempt_for(j, within, mine, NULL, u)) break;
-                any = true;
-            }
-            if (any) {
-                j->preempted = base_now();
-                break;
-            }
-        }
+        if ((!m || preempt_fetch_too_slow(j, m)) && make_way(j, within, missing, mine, u)) break;
         if (!m) {
             unplaced = true;
             break;
         }
-        if (t / size != chunk) {
-            chunk = t / size;
-            in_chunk = 0;
-            for (guint b = 0; b < j->bookings->len; b++)
-                in_chunk += ((struct booking *)j->bookings->pdata[b])->task / size == chunk;
+        if (t / stretch != chunk) {
+            chunk = t / stretch;
+            in_chunk = bookings_in_chunk(j, chunk, stretch);
         }
         if (record_full(j, in_chunk++, m)) {
-            t = (chunk + 1) * size - 1;
+            t = (chunk + 1) * stretch - 1;
             continue;
         }
         plan_task(r, m, j, t, next_attempt(r->share), u);
