--- a/src/rounds/plan.c
+++ b/src/rounds/plan.c
@@ -114,6 +114,31 @@
     return (within || j->rank > RANK_IDLE) && !failures_suspect(j) && base_since(j->preempted) > PREEMPT_AGAIN_S;
 }
 
+/* What found no room in this round. Room only shrinks while a round plans, so that what asks for as much or more finds
+ * none either: with hundreds of jobs waiting, each looking at all machines, an owner once did nothing else. */
+struct no_room {
+    const struct job_spec *asked[8];
+    guint n;
+};
+
+static bool unconstrained(const struct job_spec *s) {
+    return s->shape == JOB_BATCH && !s->flavours && !s->site && !s->together && !s->spread;
+}
+
+static bool surely_no_room(const struct no_room *none, const struct job_spec *s) {
+    for (guint i = 0; unconstrained(s) && i < none->n; i++) {
+        const struct job_spec *a = none->asked[i];
+        if (a->reclaimable >= s->reclaimable && a->vcpus <= s->vcpus && a->gpus <= s->gpus &&
+            a->memory_gb <= s->memory_gb)
+            return true;
+    }
+    return false;
+}
+
+static void note_no_room(struct no_room *none, const struct job_spec *s) {
+    if (unconstrained(s) && none->n < G_N_ELEMENTS(none->asked)) none->asked[none->n++] = s;
+}
+
 #define PREEMPTIONS_MOST 32 /* tasks that a round makes room for, of one job */
 
 /* Makes lower work make way for tasks of the job; true if any does. */
@@ -294,6 +319,7 @@
     struct free_room free = count_free(room);
     records_shares[k].fit_nowhere = false;
     int jobs_planned = 0;
+    struct no_room none = {.n = 0};
     for (guint i = 0; i < order->len; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
         bool within = g_array_index(order, struct rounds_ranked, i).within;
@@ -305,9 +331,15 @@
         }
         take_free(&free, j, missing[i]);
         guint before = r->plans->len;
+        if (!may_preempt(j, within) && surely_no_room(&none, &j->spec)) {
+            j->unplaced = !failures_suspect(j);
+            records_shares[k].fit_nowhere |= j->unplaced;
+            continue;
+        }
         j->unplaced = j->spec.shape == JOB_GROUP ? plan_group(r, j, within, mine, room, &rules, u)
                                                  : plan_tasks(r, j, within, missing[i], mine, room, &rules, u);
         jobs_planned += r->plans->len > before;
+        if (j->unplaced) note_no_room(&none, &j->spec);
         if (failures_suspect(j)) j->unplaced = false; /* it waits for room, and has none rented */
         if (j->unplaced) records_shares[k].fit_nowhere = true;
     }
--- a/src/rounds/rank.c
+++ b/src/rounds/rank.c
@@ -8,6 +8,24 @@
 
 #define WAIT_BOUND 75 /* nobody is to wait 90 s beside room that fits */
 
+#define NO_AIM_S 300.0 /* where no class has an aim */
+
+bool rounds_has_aim(const struct job *j) {
+    for (int kind = AIM_WAIT; kind <= AIM_DEADLINE; kind++)
+        if (kind != AIM_GUARANTEE && settings_has_aim(round_settings, (enum settings_aim)kind, j->spec.jobclass))
+            return true;
+    return false;
+}
+
+/* The longest time by which anything is expected to be done. */
+static double longest_aim(void) {
+    double longest = 0;
+    for (int i = 0; i < round_settings->n_objectives; i++)
+        if (round_settings->objectives[i].kind == AIM_FINISHED)
+            longest = MAX(longest, round_settings->objectives[i].within_s);
+    return longest > 0 ? longest : NO_AIM_S;
+}
+
 /* When the job is due: the first of the times named by its class's aims that it can still keep; past the last, twice
  * that, and so on. In an overload work that can't be in time any more steps back behind work that can, instead of
  * making all late one after the other; it comes first again when its next time draws near. */
@@ -28,7 +46,11 @@
         if (age + j->spec.runtime_s <= next) return j->ready + next;
         after = last = next;
     }
-    if (last <= 0) return j->ready + settings_within(round_settings, AIM_WAIT, j->spec.jobclass, 0);
+    if (last <= 0 && rounds_has_aim(j))
+        return j->ready + settings_within(round_settings, AIM_WAIT, j->spec.jobclass, 0);
+    /* Nobody expects it by a time: it takes turns with what is late for the last of all times. Due at once, a guest's
+     * arrays without an aim once kept those with one waiting for 400 s. */
+    if (last <= 0) last = longest_aim();
     double d = last * 2;
     while (age + j->spec.runtime_s > d) d *= 2;
     return j->ready + d;
--- a/src/rounds/rounds.h
+++ b/src/rounds/rounds.h
@@ -13,8 +13,9 @@
     bool within;
     double due; /* time of day */
 };
-GArray *rounds_rank(int k);              /* the share's unfinished jobs in order */
-int rounds_missing(const struct job *j); /* tasks neither done nor booked */
+GArray *rounds_rank(int k);               /* the share's unfinished jobs in order */
+int rounds_missing(const struct job *j);  /* tasks neither done nor booked */
+bool rounds_has_aim(const struct job *j); /* somebody expects jobs of its class to start or end by a time */
 bool rounds_has_guarantee(const struct settings_team *t);
 struct machine *rounds_reception(int k);
 void rounds_scratch(int k);
--- a/src/transfer/transfer.c
+++ b/src/transfer/transfer.c
@@ -87,6 +87,8 @@
     for (guint i = 0; i < order->len && !found; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
         if (j->spec.reclaimable != reclaimable || failures_suspect(j) || base_since(j->seen) < 0.4) continue;
+        /* A dear machine that nobody needs is given back rather than kept for work that nobody expects by a time. */
+        if (reclaimable && !rounds_has_aim(j)) continue;
         const struct settings_team *t = &cfg->teams[j->spec.team];
         int left = rounds_missing(j), tasks = j->spec.shape == JOB_BATCH ? 1 : left;
         if (left <= 0 ||
