--- a/src/rounds/rounds_test.c
+++ b/src/rounds/rounds_test.c
@@ -332,6 +332,87 @@
     }
 }
 
+/* Work that somebody expects by a time goes before work of its rank that nobody does, however old that is. */
+static void aims_go_first(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        double age, expected_age; /* of the job without an aim, and of the one that is to be done within 400 s */
+        bool expected_first;
+    } rows[] = {
+        {"came together", 10, 10, true},
+        {"the one without an aim is older", 200, 10, true},
+        {"so old that its turn has come", 590, 10, false},
+        {"it has missed that and steps back, like all late work", 900, 10, true},
+    };
+    cfg.objectives[0] = (struct settings_objective){AIM_FINISHED, (char *)"expected", 400, 0.9};
+    cfg.n_objectives = 1;
+    for (size_t r = 0; r < G_N_ELEMENTS(rows); r++) {
+        char uid[2][32];
+        for (int i = 0; i < 2; i++) g_snprintf(uid[i], sizeof uid[i], "req-83%zu0%d", r, i);
+        store_lock();
+        struct machine *m = owned_machine("i-830000", "za", false);
+        struct job *plain = owned_job(uid[0], "batch", "idle", 2, 16, 2, false, false, rows[r].age);
+        struct job *expected = owned_job(uid[1], "batch", "idle", 1, 16, 2, false, false, rows[r].expected_age);
+        g_free(expected->spec.jobclass);
+        expected->spec.jobclass = g_strdup("expected");
+        plain->n_pend = 1; /* it has begun */
+        (void)m;
+        GArray *order = rounds_rank(0);
+        bool first = g_array_index(order, struct rounds_ranked, 0).j == expected;
+        g_array_free(order, TRUE);
+        owned_clear();
+        store_unlock();
+        if (first != rows[r].expected_first) fail_msg("%s: %d", rows[r].what, first);
+    }
+    cfg.n_objectives = 0;
+}
+
+/* Where changes are scarce for long, an array of which one change starts dozens of tasks gets a turn beside many small
+ * jobs that go before it; no more than a part of it, and not at once again. */
+static void wide_gets_a_turn(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        double cut_s; /* for so long rounds have been cut short; 0: they were not */
+        double promoted_s;
+        int least, most;
+    } rows[] = {
+        {"not scarce", 0, 100, 0, 0},
+        {"scarce for a moment", 1, 100, 0, 0},
+        {"scarce for long", 10, 100, 32, 64},
+        {"scarce for long, and one went a moment ago", 10, 0, 0, 0},
+    };
+    for (size_t r = 0; r < G_N_ELEMENTS(rows); r++) {
+        char id[32], uid[32];
+        store_lock();
+        for (int i = 0; i < 20; i++) {
+            g_snprintf(id, sizeof id, "i-84%04d", i);
+            owned_machine(id, "za", false);
+        }
+        for (int i = 0; i < 30; i++) {
+            g_snprintf(uid, sizeof uid, "req-84%zu0%02d", r, i);
+            owned_job(uid, "batch", "idle", 1, 1, 0, false, false, 50 - i);
+        }
+        g_snprintf(uid, sizeof uid, "req-85%zu000", r);
+        owned_job(uid, "batch", "idle", 500, 1, 0, false, false, 5);
+        struct timespec now = base_now();
+        records_shares[0].cut_since = (struct timespec){0, 0};
+        if (rows[r].cut_s > 0) records_shares[0].cut_since.tv_sec = now.tv_sec - (time_t)rows[r].cut_s;
+        records_shares[0].promoted = now;
+        records_shares[0].promoted.tv_sec -= (time_t)rows[r].promoted_s;
+        struct round *round = rounds_decide(0, 2);
+        int planned = rounds_planned(round, uid);
+        bool cut = records_shares[0].cut_since.tv_sec != 0;
+        rounds_round_free(round);
+        records_shares[0].cut_since = (struct timespec){0, 0};
+        owned_clear();
+        store_unlock();
+        if (planned < rows[r].least || planned > rows[r].most) fail_msg("%s: %d planned", rows[r].what, planned);
+        if (!cut) fail_msg("%s: the round was not cut short", rows[r].what);
+    }
+}
+
 /* A machine that should have come up by now is no supply: what waits gets another, a bounded number at a time. */
 static void overdue_boots(void **state) {
     (void)state;
@@ -391,8 +472,9 @@
         "\"startup_s\":25,\"sites\":[\"za\",\"zb\",\"zc\"]}]}");
     store_unlock();
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(gangs),       cmocka_unit_test(waiting_bound), cmocka_unit_test(budget),
-        cmocka_unit_test(rentals),     cmocka_unit_test(spares),        cmocka_unit_test(silence),
-        cmocka_unit_test(wide_arrays), cmocka_unit_test(overdue_boots), cmocka_unit_test(fleet)};
+        cmocka_unit_test(gangs),         cmocka_unit_test(waiting_bound), cmocka_unit_test(budget),
+        cmocka_unit_test(rentals),       cmocka_unit_test(spares),        cmocka_unit_test(silence),
+        cmocka_unit_test(wide_arrays),   cmocka_unit_test(aims_go_first), cmocka_unit_test(wide_gets_a_turn),
+        cmocka_unit_test(overdue_boots), cmocka_unit_test(fleet)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
