--- a/src/jobs/jobs.h
+++ b/src/jobs/jobs.h
@@ -44,7 +44,6 @@
     int at_risk;   /* replicas on machines that went silent with their zone: they may have to start elsewhere soon */
     bool unplaced; /* tasks found no place in the last round */
     struct timespec preempted;
-    struct timespec promoted; /* when it last went ahead of others as a wide one */
 };
 
 char *jobs_bits_text(const uint8_t *bits, int from, int n);
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -99,7 +99,6 @@
     struct timespec apart_until; /* until then a transaction holds one record: one was refused as malformed */
     struct timespec alarm;       /* when a machine last failed to answer for the first time */
     bool fit_nowhere;
-    struct timespec cut_since, promoted; /* rounds have had no changes left for all that has room; zero: they have */
 };
 extern struct records_share records_shares[RECORDS_SHARES];
 
--- a/src/rounds/plan.c
+++ b/src/rounds/plan.c
@@ -300,42 +300,6 @@
     return bookings_count(j) > 0 ? 0 : MIN(missing, 1);
 }
 
-/* Where changes are too scarce for all that has room, hundreds of small jobs, a change each, once kept 200 machines
- * idle beside arrays of which one change starts dozens of tasks. So one array a second goes first in its rank, the one
- * that has waited longest for that, with a part of its tasks. */
-#define WIDE_TASKS 64
-#define PROMOTE_EVERY_S 1.0
-#define CUT_S 4.0 /* so long rounds have to be cut short before that */
-
-static bool same_class(const struct rounds_ranked *a, const struct rounds_ranked *b) {
-    return a->within == b->within && a->j->rank == b->j->rank && failures_suspect(a->j) == failures_suspect(b->j);
-}
-
-/* The one that is moved ahead; NULL: none. */
-static const struct job *promote_wide(int k, GArray *order) {
-    struct records_share *share = &records_shares[k];
-    if (!share->cut_since.tv_sec || base_since(share->cut_since) < CUT_S ||
-        base_since(share->promoted) < PROMOTE_EVERY_S)
-        return NULL;
-    guint best = order->len;
-    for (guint i = 0; i < order->len; i++) {
-        const struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        if (!unconstrained(&j->spec) || j->spec.tasks < WIDE_TASKS || failures_suspect(j) || waits_to_retry(j))
-            continue;
-        if (rounds_missing(j) < WIDE_TASKS) continue;
-        const struct job *so_far = best < order->len ? g_array_index(order, struct rounds_ranked, best).j : NULL;
-        if (!so_far || base_secs(j->promoted) < base_secs(so_far->promoted)) best = i;
-    }
-    if (best == order->len) return NULL;
-    struct rounds_ranked wide = g_array_index(order, struct rounds_ranked, best);
-    guint to = best;
-    while (to > 0 && same_class(&g_array_index(order, struct rounds_ranked, to - 1), &wide)) to--;
-    g_array_remove_index(order, best);
-    g_array_insert_val(order, to, wide);
-    share->promoted = wide.j->promoted = base_now();
-    return wide.j;
-}
-
 void round_plan_jobs(struct round *r, int k) {
     GArray *order = rounds_rank(k);
     GPtrArray *mine = records_of(k);
@@ -345,8 +309,6 @@
                                     rounds_reception(k)};
     count_usage(k, u);
     preempt_refresh();
-    const struct job *promoted = promote_wide(k, order);
-    bool cut = false;
     int *missing = g_new0(int, order->len + 1);
     for (guint i = 0; i < order->len; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
@@ -365,7 +327,6 @@
         if (jobs_planned >= r->left || r->plans->len >= PLANS_MOST) {
             r->more = true;
             mark_unplaced(k, order, i, missing, free);
-            cut = true;
             break;
         }
         take_free(&free, j, missing[i]);
@@ -375,19 +336,13 @@
             records_shares[k].fit_nowhere |= j->unplaced;
             continue;
         }
-        j->unplaced = j->spec.shape == JOB_GROUP
-                          ? plan_group(r, j, within, mine, room, &rules, u)
-                          : plan_tasks(r, j, within, j == promoted ? MIN(missing[i], WIDE_TASKS) : missing[i], mine,
-                                       room, &rules, u);
+        j->unplaced = j->spec.shape == JOB_GROUP ? plan_group(r, j, within, mine, room, &rules, u)
+                                                 : plan_tasks(r, j, within, missing[i], mine, room, &rules, u);
         jobs_planned += r->plans->len > before;
         if (j->unplaced) note_no_room(&none, &j->spec);
         if (failures_suspect(j)) j->unplaced = false; /* it waits for room, and has none rented */
         if (j->unplaced) records_shares[k].fit_nowhere = true;
     }
-    if (!cut)
-        records_shares[k].cut_since = (struct timespec){0, 0};
-    else if (!records_shares[k].cut_since.tv_sec)
-        records_shares[k].cut_since = base_now();
     /* Only what stays planned is written: a gang's tries that came to nothing are not. */
     for (guint i = 0; i < r->plans->len; i++) g_array_index(r->plans, struct placement_plan, i).m->touched = true;
     g_free(missing);
