--- a/src/records/records.h
+++ b/src/records/records.h
@@ -5,7 +5,8 @@
 
 #define RECORDS_WINDOW 64
 #define RECORDS_SHARES 64
-#define RECORDS_PAGES 256 /* a share's pages are numbered below this */
+#define RECORDS_TASKS_MOST 200 /* booked on a machine at a time: reports and answers stay far below 64 KiB */
+#define RECORDS_PAGES 256      /* a share's pages are numbered below this */
 
 enum task_state { TASK_UNSEEN, TASK_FETCHING, TASK_GATHERING, TASK_RUNNING, TASK_FLUSHING, TASK_ENDED };
 
@@ -13,6 +14,7 @@
 struct booking {
     struct job *job;
     struct machine *m;
+    guint at_job, at_machine; /* where it stands in their lists */
     int task;
     int64_t attempt;
     /* owner's side */
@@ -66,7 +68,8 @@
     double occ[RECORDS_WINDOW][3];
     int rows;
     GHashTable *images;
-    int faults;
+    struct timespec faulty_since; /* zero: it is not */
+    GPtrArray *failed_jobs;       /* struct job, kept by failures; NULL: none */
     bool draining, want_return, dead, had_task;
     int transfer_to; /* share that it is to pass to, -1: none */
     struct timespec transfer_since;
@@ -76,6 +79,7 @@
     int64_t next_fence;
     int next_page;
     double occupancy, used_cpu, used_gpu, used_mem;
+    int used_tasks;
 };
 
 struct records_unregistered { /* rented or found, not yet recorded */
@@ -127,7 +131,19 @@
  * Scratch fields decide: `leave` keeps a machine out, `next_fence` raises its token, `next_page` brings one in, as does
  * an unregistered one's page. */
 cJSON *records_page_value(int k, int page, int *count);
-int records_page_for(int k, const char *id); /* a page with room for one more */
+/* How full a page is, by both measures. A page is filled only as far as the first version, which writes images into it,
+ * can rewrite it under the present limit, and anyone under the next. */
+struct records_fill {
+    int present, next;
+};
+/* How full a share's pages are: counted once, however many machines are then given places. */
+struct records_fills {
+    struct records_fill pages[RECORDS_PAGES];
+};
+void records_fills(int k, struct records_fills *fills);
+/* The page that the machine is to go to, counted in; -1: all are full. */
+int records_fills_add(struct records_fills *fills, const char *id);
+int records_page_for(int k, const char *id); /* for one machine alone */
 /* The pages that could not be rewritten under the service's next limit. Their machines are written to others, a page of
  * them at a time: a later record moves a machine whatever an older one says, so that no step leaves it on none, whoever
  * reads what in between. A page is rewritten once the rest has room, and is stale until then. */
--- a/src/rounds/plan.c
+++ b/src/rounds/plan.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "../bookings/bookings.h"
+#include "../failures/failures.h"
 #include "../preempt/preempt.h"
 #include "round.h"
 
@@ -78,8 +79,10 @@
     if (!attempt || !preempt_quota_left(&u[j->spec.team], &j->spec, missing)) return false;
     guint from = r->plans->len;
     struct preempt_usage before = u[j->spec.team];
-    for (int t = 0; t < j->spec.tasks; t++) {
-        if (bookings_booked(j, t)) continue;
+    uint8_t *booked = bookings_bits(j);
+    bool replaced = true;
+    for (int t = 0; t < j->spec.tasks && replaced; t++) {
+        if (jobs_bit(booked, t)) continue;
         struct machine *m = placement_pick(mine, j, NULL, rules, r->plans);
         /* A machine that still holds this very attempt would do nothing. */
         if (m && !holds_ended(m, j->spec.uid, t, attempt)) {
@@ -90,8 +93,10 @@
             placement_take(g_array_index(r->plans, struct placement_plan, i).m, &j->spec, -1);
         g_array_set_size(r->plans, from);
         u[j->spec.team] = before;
-        return false;
+        replaced = false;
     }
+    g_free(booked);
+    if (!replaced) return false;
     log_info("gang %s: %d of its %d tasks replaced under the same attempt", j->spec.uid, missing, j->spec.tasks);
     return true;
 }
@@ -103,18 +108,63 @@
 }
 
 #define PLANS_MOST 600
+#define PREEMPT_AGAIN_S 3 /* time for what was stopped to make way */
+
+static bool may_preempt(const struct job *j, bool within) {
+    return (within || j->rank > RANK_IDLE) && !failures_suspect(j) && base_since(j->preempted) > PREEMPT_AGAIN_S;
+}
+
+/* What found no room in this round. Room only shrinks while a round plans, so that what asks for as much or more finds
+ * none either: with hundreds of jobs waiting, each looking at all machines, an owner once did nothing else. */
+struct no_room {
+    const struct job_spec *asked[8];
+    guint n;
+};
+
+static bool unconstrained(const struct job_spec *s) {
+    return s->shape == JOB_BATCH && !s->flavours && !s->site && !s->together && !s->spread;
+}
+
+static bool surely_no_room(const struct no_room *none, const struct job_spec *s) {
+    for (guint i = 0; unconstrained(s) && i < none->n; i++) {
+        const struct job_spec *a = none->asked[i];
+        if (a->reclaimable >= s->reclaimable && a->vcpus <= s->vcpus && a->gpus <= s->gpus &&
+            a->memory_gb <= s->memory_gb)
+            return true;
+    }
+    return false;
+}
+
+static void note_no_room(struct no_room *none, const struct job_spec *s) {
+    if (unconstrained(s) && none->n < G_N_ELEMENTS(none->asked)) none->asked[none->n++] = s;
+}
+
+#define PREEMPTIONS_MOST 32 /* tasks that a round makes room for, of one job */
+
+/* Makes lower work make way for tasks of the job; true if any does. */
+static bool make_way(struct job *j, bool within, int tasks, GPtrArray *mine, const struct preempt_usage *u) {
+    if (!may_preempt(j, within)) return false;
+    int made = 0;
+    while (made < MIN(tasks, PREEMPTIONS_MOST) && preempt_for(j, within, mine, NULL, u)) made++;
+    if (made > 0) j->preempted = base_now();
+    return made > 0;
+}
+
+static int bookings_in_chunk(const struct job *j, int chunk, int stretch) {
+    int n = 0;
+    for (guint b = 0; b < j->bookings->len; b++)
+        n += ((struct booking *)j->bookings->pdata[b])->task / stretch == chunk;
+    return n;
+}
 
 /* Arrays and services, task by task. True if a task found no place. */
 static bool plan_tasks(struct round *r, struct job *j, bool within, int missing, GPtrArray *mine, GPtrArray *room,
                        const struct placement_rules *rules, struct preempt_usage *u) {
-    int size = bookings_write_stretch(j), chunk = -1, in_chunk = 0;
-    uint8_t *busy = g_malloc0((gsize)j->spec.tasks / 8 + 1);
-    memcpy(busy, j->pend, (gsize)j->spec.tasks / 8 + 1);
-    for (guint b = 0; b < j->bookings->len; b++) {
-        const struct booking *x = j->bookings->pdata[b];
-        if (!x->over) busy[x->task / 8] |= (uint8_t)(1 << (x->task % 8));
-    }
+    int stretch = bookings_write_stretch(j), chunk = -1, in_chunk = 0;
     bool unplaced = false;
+    struct machine *last = NULL;
+    uint8_t *busy = bookings_bits(j);
+    for (int done = 0; done <= j->spec.tasks / 8; done++) busy[done] |= j->pend[done];
     for (int t = 0; t < j->spec.tasks && missing > 0; t++) {
         if (jobs_bit(busy, t)) continue;
         if (!preempt_quota_left(&u[j->spec.team], &j->spec, 1)) break;
@@ -122,30 +172,21 @@
             r->more = true;
             break;
         }
-        struct machine *m = placement_pick(room, j, NULL, rules, r->plans);
-        if ((!m || preempt_fetch_too_slow(j, m)) && (within || j->rank > RANK_IDLE) && base_since(j->preempted) > 3) {
-            bool any = false;
-            for (int w = 0; w < missing && w < 32; w++) {
-                if (!preempt_for(j, within, mine, NULL, u)) break;
-                any = true;
-            }
-            if (any) {
-                j->preempted = base_now();
-                break;
-            }
-        }
+        /* What was best for a task is best for the next one like it, as long as it has room. */
+        bool again = last && !j->spec.spread && placement_fits(last, &j->spec);
+        struct machine *m = again ? last : placement_pick(room, j, NULL, rules, r->plans);
+        last = m;
+        if ((!m || preempt_fetch_too_slow(j, m)) && make_way(j, within, missing, mine, u)) break;
         if (!m) {
             unplaced = true;
             break;
         }
-        if (t / size != chunk) {
-            chunk = t / size;
-            in_chunk = 0;
-            for (guint b = 0; b < j->bookings->len; b++)
-                in_chunk += ((struct booking *)j->bookings->pdata[b])->task / size == chunk;
+        if (t / stretch != chunk) {
+            chunk = t / stretch;
+            in_chunk = bookings_in_chunk(j, chunk, stretch);
         }
         if (record_full(j, in_chunk++, m)) {
-            t = (chunk + 1) * size - 1;
+            t = (chunk + 1) * stretch - 1;
             continue;
         }
         plan_task(r, m, j, t, next_attempt(r->share), u);
@@ -160,6 +201,7 @@
     int booked = bookings_count(j);
     if (booked == 0) {
         if (j->n_pend == j->spec.tasks || plan_gang(r, j, room, rules, u)) return false;
+        if (failures_suspect(j)) return true;
         int now, with;
         const char *zone = preempt_gang_zone(j, within, mine, &now, &with);
         if (with < j->spec.tasks && j->zone) zone = j->zone;
@@ -173,7 +215,7 @@
                 placement_take(m, &j->spec, 1);
         }
         /* Only if all of it gets room by that: a gang that lacks one place runs as little as one that lacks all. */
-        if ((within || j->rank > RANK_IDLE) && with >= j->spec.tasks && base_since(j->preempted) > 3) {
+        if (with >= j->spec.tasks && may_preempt(j, within)) {
             bool any = false;
             for (int t = (int)kept; t < j->spec.tasks; t++) any |= preempt_for(j, within, mine, zone, u);
             if (any) j->preempted = base_now();
@@ -244,13 +286,20 @@
 static void mark_unplaced(int k, const GArray *order, guint from, const int *missing, struct free_room free) {
     for (guint i = from; i < order->len; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        if (missing[i] <= 0 || waits_to_retry(j)) continue;
+        if (missing[i] <= 0 || waits_to_retry(j) || failures_suspect(j)) continue;
         take_free(&free, j, missing[i]);
         j->unplaced = free.cpu < 0 || free.gpu < 0;
         records_shares[k].fit_nowhere |= j->unplaced;
     }
 }
 
+/* Of a job that fails wherever it runs one task at a time is tried, or the gang that it is. */
+static int tasks_to_place(const struct job *j) {
+    int missing = rounds_missing(j);
+    if (!failures_suspect(j) || j->spec.shape == JOB_GROUP) return missing;
+    return bookings_count(j) > 0 ? 0 : MIN(missing, 1);
+}
+
 void round_plan_jobs(struct round *r, int k) {
     GArray *order = rounds_rank(k);
     GPtrArray *mine = records_of(k);
@@ -263,13 +312,14 @@
     int *missing = g_new0(int, order->len + 1);
     for (guint i = 0; i < order->len; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
-        missing[i] = rounds_missing(j);
+        missing[i] = tasks_to_place(j);
         if (missing[i] <= 0) j->unplaced = false;
     }
     GPtrArray *room = machines_with_room(mine, order, missing);
     struct free_room free = count_free(room);
     records_shares[k].fit_nowhere = false;
     int jobs_planned = 0;
+    struct no_room none = {.n = 0};
     for (guint i = 0; i < order->len; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
         bool within = g_array_index(order, struct rounds_ranked, i).within;
@@ -281,9 +331,16 @@
         }
         take_free(&free, j, missing[i]);
         guint before = r->plans->len;
+        if (!may_preempt(j, within) && surely_no_room(&none, &j->spec)) {
+            j->unplaced = !failures_suspect(j);
+            records_shares[k].fit_nowhere |= j->unplaced;
+            continue;
+        }
         j->unplaced = j->spec.shape == JOB_GROUP ? plan_group(r, j, within, mine, room, &rules, u)
                                                  : plan_tasks(r, j, within, missing[i], mine, room, &rules, u);
         jobs_planned += r->plans->len > before;
+        if (j->unplaced) note_no_room(&none, &j->spec);
+        if (failures_suspect(j)) j->unplaced = false; /* it waits for room, and has none rented */
         if (j->unplaced) records_shares[k].fit_nowhere = true;
     }
     /* Only what stays planned is written: a gang's tries that came to nothing are not. */
--- a/src/rounds/rank.c
+++ b/src/rounds/rank.c
@@ -1,10 +1,30 @@
 /* The order among a share's unfinished jobs. */
 #include <string.h>
 
+#include "../bookings/bookings.h"
 #include "../chains/chains.h"
+#include "../failures/failures.h"
 #include "round.h"
 
-#define WAIT_BOUND 90
+#define WAIT_BOUND 75 /* nobody is to wait 90 s beside room that fits */
+
+#define NO_AIM_S 300.0 /* where no class has an aim */
+
+bool rounds_has_aim(const struct job *j) {
+    for (int kind = AIM_WAIT; kind <= AIM_DEADLINE; kind++)
+        if (kind != AIM_GUARANTEE && settings_has_aim(round_settings, (enum settings_aim)kind, j->spec.jobclass))
+            return true;
+    return false;
+}
+
+/* The longest time by which anything is expected to be done. */
+static double longest_aim(void) {
+    double longest = 0;
+    for (int i = 0; i < round_settings->n_objectives; i++)
+        if (round_settings->objectives[i].kind == AIM_FINISHED)
+            longest = MAX(longest, round_settings->objectives[i].within_s);
+    return longest > 0 ? longest : NO_AIM_S;
+}
 
 /* When the job is due: the first of the times named by its class's aims that it can still keep; past the last, twice
  * that, and so on. In an overload work that can't be in time any more steps back behind work that can, instead of
@@ -26,7 +46,11 @@
         if (age + j->spec.runtime_s <= next) return j->ready + next;
         after = last = next;
     }
-    if (last <= 0) return j->ready + settings_within(round_settings, AIM_WAIT, j->spec.jobclass, 0);
+    if (last <= 0 && rounds_has_aim(j))
+        return j->ready + settings_within(round_settings, AIM_WAIT, j->spec.jobclass, 0);
+    /* Nobody expects it by a time: it takes turns with what is late for the last of all times. Due at once, a guest's
+     * arrays without an aim once kept those with one waiting for 400 s. */
+    if (last <= 0) last = longest_aim();
     double d = last * 2;
     while (age + j->spec.runtime_s > d) d *= 2;
     return j->ready + d;
@@ -34,6 +58,9 @@
 
 static int rank_order(gconstpointer a, gconstpointer b) {
     const struct rounds_ranked *x = a, *y = b;
+    /* What fails wherever it runs delays nobody. */
+    bool x_suspect = failures_suspect(x->j), y_suspect = failures_suspect(y->j);
+    if (x_suspect != y_suspect) return y_suspect ? -1 : 1;
     if (x->within != y->within) return x->within ? -1 : 1;
     if (x->j->rank != y->j->rank) return x->j->rank > y->j->rank ? -1 : 1;
     if (x->due != y->due) return x->due < y->due ? -1 : 1;
@@ -52,11 +79,12 @@
         struct job *j = jobs->pdata[i];
         if (j->spec.team < 0 || chains_waits(j)) continue;
         const struct settings_team *t = &round_settings->teams[j->spec.team];
-        int left = j->spec.tasks - j->n_pend;
+        int left = failures_suspect(j) ? bookings_count(j) : j->spec.tasks - j->n_pend;
         cpu[j->spec.team] += left * j->spec.vcpus;
         gpu[j->spec.team] += left * j->spec.gpus;
         struct rounds_ranked r = {j,
-                                  rounds_has_guarantee(t) && (t->cpus <= 0 || cpu[j->spec.team] <= t->cpus + 1e-6) &&
+                                  rounds_has_guarantee(t) && !failures_suspect(j) &&
+                                      (t->cpus <= 0 || cpu[j->spec.team] <= t->cpus + 1e-6) &&
                                       (t->gpus <= 0 || gpu[j->spec.team] <= t->gpus + 1e-6),
                                   MIN(due_of(j, now), j->deadline)};
         g_array_append_val(out, r);
--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -5,6 +5,7 @@
 #include "../bookings/bookings.h"
 #include "../chains/chains.h"
 #include "../cloud/cloud.h"
+#include "../failures/failures.h"
 #include "../ledger/ledger.h"
 #include "../membership/membership.h"
 #include "../placement/placement.h"
@@ -18,6 +19,10 @@
 const struct settings *round_settings;
 
 #define LEAST_CHANGES 2 /* with less budget a round decides nothing */
+/* With less budget than this, what a job's record lacks waits a while: the ends of more of its tasks go with the same
+ * write. Written one by one they once took the changes that starts needed. */
+#define AMPLE_CHANGES 4
+#define GATHER_PROGRESS_S 3.0
 
 static struct base_wakeup wakeup;
 
@@ -44,6 +49,7 @@
         m->next_page = -1;
         m->occupancy = placement_occupancy(m, (int)round_settings->tuning.window);
         m->used_cpu = m->used_gpu = m->used_mem = 0;
+        m->used_tasks = 0;
         for (guint b = 0; b < m->bookings->len; b++) {
             struct booking *x = m->bookings->pdata[b];
             if (x->over) {
@@ -53,11 +59,12 @@
             m->used_cpu += x->job->spec.vcpus;
             m->used_gpu += x->job->spec.gpus;
             m->used_mem += x->job->spec.memory_gb;
+            m->used_tasks++;
         }
         m->open = m->up && m->page >= 0 && m->flavour && !records_leaving(m) && !m->draining && m->transfer_to < 0 &&
-                  m->warning < 0 && !m->need_raise && !m->unknown && m->ignored == 0 &&
-                  m->seen_fence >= records_token(m) && base_since(m->reported) < quiet && m->bookings->len < 200 &&
-                  !watch_zone_cut(k, m->site);
+                  m->warning < 0 && !m->need_raise && !m->unknown && m->ignored == 0 && !failures_machine_faulty(m) &&
+                  m->seen_fence >= records_token(m) && base_since(m->reported) < quiet &&
+                  m->bookings->len < RECORDS_TASKS_MOST && !watch_zone_cut(k, m->site);
     }
 }
 
@@ -103,7 +110,11 @@
         g_ptr_array_remove(late, j);
     }
     g_ptr_array_sort(late, longest_touched);
-    for (guint i = 0; i < late->len && r->left > 0; i++) round_write_job(r, late->pdata[i]);
+    for (guint i = 0; i < late->len && r->left > 0; i++) {
+        const struct job *j = late->pdata[i];
+        if (r->left < AMPLE_CHANGES && base_since(j->touched) < GATHER_PROGRESS_S) break; /* the rest is younger */
+        round_write_job(r, late->pdata[i]);
+    }
     r->more |= late->len > 0 && r->left <= 0;
     g_ptr_array_free(late, TRUE);
 }
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -4,7 +4,6 @@
 #include "../records/records.h"
 
 void watch_init(const struct settings *s);
-double watch_boot_limit(const struct machine *m);
 bool watch_try_workers(struct http_client *c); /* without the lock: whether one of a few workers answers */
 void watch_count_heard(int *up, int *heard, int *reported);
 /* Pure: after how long without a word from any of so many machines of a zone the zone counts as cut off. */
@@ -15,5 +14,7 @@
 double watch_zone_keeps(const char *site);
 /* With store_lock held. Nothing is heard of the share's machines in the zone. */
 bool watch_zone_cut(int k, const char *site);
+/* With store_lock held. This controller stood still for so long: silence over that time does not count. */
+void watch_forgive(double stood_s);
 void watch_machines(int k, int up, int heard);
 #endif
