A controller that hears none of many workers gives up its shares at once

Now after the silence that shows a cut zone and 2 s more, if it hears neither reports nor answers of any of twenty machines or more. Few machines, or answers that come while reports don't: as before.

--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -280,6 +280,18 @@
     return again;
 }
 
+#define STORE_SEEN_S 4.0 /* cut from the store as well, what it holds ours is no longer known */
+
+/* A controller that hears none of its workers leaves its shares to others: at once where not one of many is heard in
+ * any way, after a report interval where most don't report. */
+static void give_up_when_deaf(const struct watch_hearing *h, struct timespec *hearing) {
+    bool store_seen = base_since(store_verified()) <= STORE_SEEN_S;
+    double report = base_secs(round_settings->report);
+    if (h->up < 4 || h->reported * 10 >= h->up * 3 || !store_seen) *hearing = base_now();
+    bool deaf = store_seen && watch_deaf(h->up, h->newest_s, report);
+    if ((deaf || base_since(*hearing) > report) && !membership_workers_lost()) membership_set_workers_lost(true);
+}
+
 static void *rounds_main(void *arg) {
     (void)arg;
     struct http_client *c = http_client_new();
@@ -291,15 +303,11 @@
         if (base_since(watched) > 0.5) {
             watched = base_now();
             store_lock();
-            int up, heard, reported;
-            watch_count_heard(&up, &heard, &reported);
-            /* Cut from the store as well, what it holds ours is no longer known. */
-            if (up < 4 || reported * 10 >= up * 3 || base_since(store_verified()) > 4) hearing = base_now();
-            if (base_since(hearing) > base_secs(round_settings->report) && !membership_workers_lost())
-                membership_set_workers_lost(true);
+            struct watch_hearing h = watch_hearing();
+            give_up_when_deaf(&h, &hearing);
             for (int k = 0; k < round_settings->size; k++)
                 if (membership_mine(k) && membership_verified()) {
-                    watch_machines(k, up, heard);
+                    watch_machines(k, h.up, h.heard);
                     ledger_run(k, false);
                     ledger_run(k, true);
                 }
--- a/src/rounds/rounds_test.c
+++ b/src/rounds/rounds_test.c
@@ -234,15 +234,14 @@
             for (guint b = 0; b < all[n]->bookings->len; b++)
                 ((struct booking *)all[n]->bookings->pdata[b])->seen = rows[i].seen;
         }
-        int up, heard, reported;
-        watch_count_heard(&up, &heard, &reported);
-        watch_machines(0, up, heard);
+        struct watch_hearing h = watch_hearing();
+        watch_machines(0, h.up, h.heard);
         for (int n = 0; n < total; n++) back += all[n]->want_return;
         /* The zone's first machine is heard again: the others get the time to be. */
         bool grace = true;
         if (rows[i].silent == rows[i].here && rows[i].there && rows[i].seen && rows[i].want == 0) {
             all[0]->heard = all[0]->reported = base_now();
-            watch_machines(0, up, heard);
+            watch_machines(0, h.up, h.heard);
             for (int n = 0; n < total; n++) grace &= !all[n]->want_return;
         }
         for (int n = 0; n < total; n++) all[n]->want_return = false;
--- a/src/watch/watch.c
+++ b/src/watch/watch.c
@@ -1,5 +1,6 @@
 #include "watch.h"
 
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -46,18 +47,26 @@
  * other. */
 static double heard_lately(void) { return MIN(base_secs(cfg->report) * 1.25 + 1, silent_limit() * 0.6); }
 
-/* How many of our machines are up, and how many of them spoke lately. */
-void watch_count_heard(int *up, int *heard, int *reported) {
+struct watch_hearing watch_hearing(void) {
+    struct watch_hearing h = {0, 0, 0, HUGE_VAL};
     double lately = heard_lately();
-    *up = *heard = *reported = 0;
     for (int k = 0; k < cfg->size; k++)
         for (guint i = 0; membership_mine(k) && i < records_of(k)->len; i++) {
             struct machine *m = records_of(k)->pdata[i];
             if (!records_mine(m) || !m->up || records_leaving(m)) continue;
-            (*up)++;
-            *heard += base_since(m->heard) < lately;
-            *reported += base_since(m->reported) < lately;
+            h.up++;
+            h.heard += base_since(m->heard) < lately;
+            h.reported += base_since(m->reported) < lately;
+            h.newest_s = MIN(h.newest_s, base_since(m->heard));
         }
+    return h;
+}
+
+#define DEAF_MACHINES 20 /* fewer may fall silent by themselves */
+#define DEAF_MORE_S 2.0  /* beyond the silence that shows a cut zone */
+
+bool watch_deaf(int up, double newest_s, double report_s) {
+    return up >= DEAF_MACHINES && newest_s > watch_zone_silence(up, report_s) + DEAF_MORE_S;
 }
 
 double watch_zone_silence(int machines, double report_s) {
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -5,7 +5,15 @@
 
 void watch_init(const struct settings *s);
 bool watch_try_workers(struct http_client *c); /* without the lock: whether one of a few workers answers */
-void watch_count_heard(int *up, int *heard, int *reported);
+/* Of the machines of our shares that are up: how many were heard lately, how many have reported, and how long ago the
+ * last of them was heard in any way. */
+struct watch_hearing {
+    int up, heard, reported;
+    double newest_s;
+};
+struct watch_hearing watch_hearing(void); /* with store_lock held */
+/* Pure: so many machines are heard that often between them that this long a silence of all is this controller's own. */
+bool watch_deaf(int up, double newest_s, double report_s);
 /* Pure: after how long without a word from any of so many machines of a zone the zone counts as cut off. */
 double watch_zone_silence(int machines, double report_s);
 /* Pure: whether a cancelled task that a machine still shows makes its return due, that long after the cancellation and
--- a/src/watch/watch_test.c
+++ b/src/watch/watch_test.c
@@ -35,7 +35,24 @@
             fail_msg("row %zu", i);
 }
 
+/* All of many machines silent at once: the controller is cut from its workers. Few, or not for long enough: not yet. */
+static void deaf(void **state) {
+    (void)state;
+    static const struct {
+        int up;
+        double newest_s, report_s;
+        bool want;
+    } rows[] = {
+        {200, 1, 8, false}, {200, 3, 8, false},   {200, 5, 8, true},  {19, 60, 8, false},
+        {20, 4, 8, false},  {20, 7, 8, true},     {4000, 4, 8, true}, {4000, 3, 8, false},
+        {300, 4, 4, true},  {300, 2.5, 4, false}, {0, 1e9, 8, false},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++)
+        if (watch_deaf(rows[i].up, rows[i].newest_s, rows[i].report_s) != rows[i].want) fail_msg("row %zu", i);
+}
+
 int main(void) {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(zone_silence), cmocka_unit_test(end_overdue)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(zone_silence), cmocka_unit_test(end_overdue),
+                                       cmocka_unit_test(deaf)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
