--- a/src/base/base.h
+++ b/src/base/base.h
@@ -54,6 +54,9 @@
 void http_short_lived(struct http_req *r); /* one of very many: its connection need not be kept */
 bool http_crowded(unsigned connections, unsigned most);
 void http_hold(struct http_req *r);
+/* Pure: an answer that was decided so long ago is not sent any more: the process stood still in between, and what was
+ * true then may have changed. */
+bool http_answer_stale(double age_s);
 void http_reply(struct http_req *r, unsigned status, const char *body, int retry_after_s);
 void http_reply_json(struct http_req *r, unsigned status, cJSON *body, int retry_after_s); /* takes body */
 
--- a/src/base/http.c
+++ b/src/base/http.c
@@ -25,6 +25,7 @@
     bool short_lived; /* its connection is closed when connections grow scarce */
     unsigned status;
     char *answer;
+    struct timespec decided; /* when the answer was */
     int retry_after_s;
 };
 
@@ -48,6 +49,7 @@
 
 void http_reply(struct http_req *r, unsigned status, const char *body, int retry_after_s) {
     r->status = status;
+    r->decided = base_now();
     r->answer = g_strdup(body ? body : "{}");
     r->retry_after_s = retry_after_s;
     r->ready = true;
@@ -61,7 +63,20 @@
     cJSON_Delete(body);
 }
 
+#define ANSWER_FRESH_S 1.0
+
+bool http_answer_stale(double age_s) { return age_s > ANSWER_FRESH_S; }
+
+static void refuse_stale(struct http_req *r) {
+    if (r->status >= 500 || !http_answer_stale(base_since(r->decided))) return;
+    g_free(r->answer);
+    r->answer = g_strdup("{\"error\":\"the answer is too old by now\"}");
+    r->status = MHD_HTTP_SERVICE_UNAVAILABLE;
+    r->retry_after_s = 1;
+}
+
 static enum MHD_Result send_ready(struct http_req *r) {
+    refuse_stale(r);
     struct MHD_Response *resp = MHD_create_response_from_buffer(strlen(r->answer), r->answer, MHD_RESPMEM_MUST_COPY);
     MHD_add_response_header(resp, "Content-Type", "application/json");
     if (r->retry_after_s > 0) {
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -27,13 +27,26 @@
 static int64_t my_lease;
 static bool my_workers_lost;
 static struct timespec workers_lost_since;
+static int times_lost; /* in a row, each soon after the last */
 
 /* Both with store_lock held. */
 bool membership_workers_lost(void) { return my_workers_lost; }
 
+#define WORKERS_RETRY_S 15.0
+#define WORKERS_RETRY_MOST_S 120.0
+
+double membership_workers_retry_s(int times_lost) {
+    double s = WORKERS_RETRY_S;
+    for (int i = 1; i < times_lost && s < WORKERS_RETRY_MOST_S; i++) s *= 2;
+    return MIN(s, WORKERS_RETRY_MOST_S);
+}
+
 void membership_set_workers_lost(bool lost) {
     if (lost == my_workers_lost) return;
     my_workers_lost = lost;
+    /* Where it can ask workers, and they can't report, it takes them for back each time: the shares must not go to and
+     * fro with that. */
+    if (lost) times_lost = base_since(workers_lost_since) < 2 * WORKERS_RETRY_MOST_S ? times_lost + 1 : 1;
     workers_lost_since = base_now();
     log_info(lost ? "most workers are silent here: giving the shares to others" : "workers can be reached again");
 }
@@ -310,7 +323,7 @@
             }
         }
         store_lock();
-        bool try_again = my_workers_lost && base_since(workers_lost_since) > 15;
+        bool try_again = my_workers_lost && base_since(workers_lost_since) > membership_workers_retry_s(times_lost);
         store_unlock();
         if (try_again && watch_try_workers(c)) {
             store_lock();
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -27,6 +27,9 @@
 void membership_set_workers_lost(bool lost);
 bool membership_workers_lost(void);
 
+/* Pure: after how long a controller that has lost the workers so many times lately tries whether they are back. */
+double membership_workers_retry_s(int times_lost);
+
 /* Pure: the part of the store's changes that is due to a controller with so many shares. */
 double membership_writing_part(int live, int size, int owned);
 
--- a/src/service/service.c
+++ b/src/service/service.c
@@ -16,6 +16,7 @@
 #include "../records/records.h"
 #include "../renting/renting.h"
 #include "../rounds/rounds.h"
+#include "../stall/stall.h"
 #include "../store/store.h"
 #include "../transfer/transfer.h"
 #include "../users/users.h"
@@ -83,6 +84,7 @@
     rounds_start();
     workers_start();
     cloud_start();
+    stall_start();
     return true;
 }
 
--- /dev/null
+++ b/src/service/service_stall_test.c
@@ -0,0 +1,127 @@
+/* A controller stands still as a whole, its clocks running on, and goes on as if nothing had happened. Meanwhile the
+ * other confirms cancellations and takes its shares over; the store may be out as well. Nothing that the first had
+ * decided or read before may act: no answer, no start, no return of machines.
+ *
+ * One row a run: the stand-ins begin from nothing. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../tests/standin/fleet.h"
+#include "../../tests/standin/pair.h"
+#include "../../tests/standin/site.h"
+#include "../../tests/standin/state.h"
+
+static const struct {
+    const char *what;
+    int leader;
+    double stood_s;
+    double outage_s; /* of the store, from the stop on; 0: none */
+    bool again;      /* it stops a second time, right after the first */
+} rows[] = {
+    {"for less than its lease in the store", 0, 1.5, 0, false},
+    {"for longer, and it leads", 0, 6, 0, false},
+    {"for longer than cancel_s, another leads", 1, PAIR_CANCEL_S + 2, 0, false},
+    {"the store is out over the end of it", 0, 4, 6, false},
+    {"twice in a row", 0, 5, 0, true},
+};
+static size_t row;
+
+/* Asks the controller that stands still about the cancelled job all the time. */
+static struct asker {
+    pthread_mutex_t lock;
+    bool told, over; /* told: the user knows that the job is cancelled */
+    int answered, older;
+} asker = {.lock = PTHREAD_MUTEX_INITIALIZER};
+
+static bool asker_get(const bool *flag) {
+    pthread_mutex_lock(&asker.lock);
+    bool value = *flag;
+    pthread_mutex_unlock(&asker.lock);
+    return value;
+}
+
+static void asker_set(bool *flag) {
+    pthread_mutex_lock(&asker.lock);
+    *flag = true;
+    pthread_mutex_unlock(&asker.lock);
+}
+
+static void *asker_main(void *arg) {
+    (void)arg;
+    while (!asker_get(&asker.over)) {
+        char s[32] = "";
+        bool told = asker_get(&asker.told);
+        long status = pair_ask_one(0, "GET", "/work/req-90001", NULL, s, sizeof s);
+        pthread_mutex_lock(&asker.lock);
+        asker.answered += told && status == 200;
+        asker.older += told && status == 200 && strcmp(s, "cancelled") != 0;
+        pthread_mutex_unlock(&asker.lock);
+        base_sleep(base_span(0.01));
+    }
+    return NULL;
+}
+
+static void cancel_at_other(const char *uid) {
+    char s[32] = "", path[64];
+    g_snprintf(path, sizeof path, "/work/%s/cancel", uid);
+    struct timespec start = base_now();
+    while (pair_ask_one(1, "POST", path, "{}", s, sizeof s) != 200 && base_since(start) < 10)
+        base_sleep(base_span(0.02));
+    assert_string_equal(s, "cancelled");
+}
+
+static void stall(void **state) {
+    (void)state;
+    assert_true(pair_begin_led_by(rows[row].leader));
+    const char *team = pair_team_of(0);
+    assert_non_null(team);
+    /* 1 and 2 are cancelled, of which 2 still fetches; 3 lives on. */
+    standin_workers_fetch("req-90002", 4);
+    assert_true(pair_submit("req-90001", team, "standing", 2));
+    assert_true(pair_submit("req-90003", team, "standing", 1));
+    assert_true(pair_runs("req-90001/0", 1, 20) && pair_runs("req-90001/1", 1, 20) && pair_runs("req-90003/0", 1, 20));
+    assert_true(pair_submit("req-90002", team, "standing", 1));
+    int starts = standin_workers_starts_of("req-90003");
+    base_thread(asker_main, NULL);
+    pair_stop(0);
+    struct timespec stopped = base_now();
+    cancel_at_other("req-90001");
+    cancel_at_other("req-90002");
+    struct timespec told = base_now();
+    asker_set(&asker.told);
+    if (rows[row].outage_s > 0) standin_state_trouble(STANDIN_OUTAGE);
+    pair_wait(stopped, rows[row].stood_s);
+    pair_continue(0);
+    if (rows[row].again) {
+        pair_wait(stopped, rows[row].stood_s + 0.3);
+        pair_stop(0);
+        pair_wait(stopped, 2 * rows[row].stood_s);
+        pair_continue(0);
+    }
+    pair_wait(told, PAIR_CANCEL_S);
+    int left = standin_workers_running("req-90001/0") + standin_workers_running("req-90001/1") +
+               standin_workers_running("req-90002/0");
+    standin_state_trouble(STANDIN_NONE);
+    assert_int_equal(left, 0);
+    /* It answers again, and never with what it knew before the stop. */
+    struct timespec start = base_now();
+    int before = asker.answered;
+    while (base_since(start) < 15 && asker.answered == before) base_sleep(base_span(0.05));
+    asker_set(&asker.over);
+    assert_true(asker.answered > before);
+    assert_int_equal(asker.older, 0);
+    assert_true(pair_runs("req-90003/0", 1, 20));
+    assert_int_equal(standin_workers_most(), 1);
+    /* Its machine was not taken for silent: it runs where it ran. */
+    assert_int_equal(standin_workers_starts_of("req-90003"), starts);
+}
+
+int main(int argc, char **argv) {
+    row = argc > 2 ? (size_t)atoi(argv[2]) : 0;
+    if (row >= G_N_ELEMENTS(rows) || argc < 2 || !pair_start(argv[1], 80 + (int)row)) return 2;
+    standin_cloud_willing();
+    const struct CMUnitTest tests[] = {{rows[row].what, stall, NULL, NULL, NULL}};
+    int rc = cmocka_run_group_tests(tests, NULL, NULL);
+    pair_clear();
+    return rc;
+}
--- /dev/null
+++ b/src/stall/stall_test.c
@@ -0,0 +1,27 @@
+/* Which late ticks are a stop of the whole process. */
+#include "stall/stall.h"
+
+#include "../../tests/standin/site.h"
+
+static void lengths(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        double waited_s, tick_s, least, most;
+    } rows[] = {
+        {"in time", 0.25, 0.25, 0, 0},
+        {"late by a moment, on a busy machine", 0.9, 0.25, 0, 0},
+        {"a few seconds", 6, 0.25, 5.5, 6},
+        {"more than a minute", 80, 0.25, 79, 80},
+        {"a clock that went back", -3, 0.25, 0, 0},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        double s = stall_length(rows[i].waited_s, rows[i].tick_s);
+        if (s < rows[i].least || s > rows[i].most) fail_msg("%s: %.2f s", rows[i].what, s);
+    }
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {cmocka_unit_test(lengths)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/users/users.c
+++ b/src/users/users.c
@@ -334,7 +334,12 @@
     }
 }
 
-static void accept_answer(GPtrArray *batch, enum store_result rc, struct store_txn *t) {
+#define CONFIRMED_S 1.5 /* for so long after the request for it was sent an answer of the store may be told */
+
+static void accept_answer(GPtrArray *batch, enum store_result rc, struct store_txn *t, struct timespec asked) {
+    /* We stood still since: another node may have told of a newer state. Final ones stay true, but are as well asked
+     * for again. */
+    if (rc == STORE_OK && base_since(asked) > CONFIRMED_S) rc = STORE_UNKNOWN;
     for (guint i = 0; i < batch->len; i++) {
         struct user_request *a = batch->pdata[i];
         char key[96];
@@ -408,7 +413,7 @@
         for (guint i = 0; i < batch->len; i++)
             cancels |= ((struct user_request *)batch->pdata[i])->kind == REQUEST_CANCEL;
         check_prerequisites(c, batch);
-        struct timespec began = base_now();
+        struct timespec began = base_now(), asked = began;
         for (int attempt = 0; attempt < 4; attempt++) {
             struct store_answer ans;
             store_txn_free(&t);
@@ -416,6 +421,7 @@
             store_lock();
             accept_fill(batch, &t);
             store_unlock();
+            asked = base_now();
             rc = store_multi(c, cancels ? STORE_CANCEL : STORE_ACCEPT, &t, &ans);
             if (rc == STORE_OK) {
                 store_lock();
@@ -444,7 +450,7 @@
             }
             if (rc == STORE_OK || rc == STORE_REFUSED || rc == STORE_BAD || base_since(began) > 1.5) break;
         }
-        accept_answer(batch, rc, &t);
+        accept_answer(batch, rc, &t, asked);
         store_txn_free(&t);
     }
     return NULL;
--- a/src/watch/watch.c
+++ b/src/watch/watch.c
@@ -242,6 +242,25 @@
     }
 }
 
+/* Moved on by so long, but never into the future. */
+static struct timespec moved_on(struct timespec t, double by_s) {
+    if (!t.tv_sec && !t.tv_nsec) return t;
+    struct timespec now = base_now();
+    return base_since(t) <= by_s ? now : base_wall_in(base_span(by_s - base_since(t)));
+}
+
+/* A controller that came back after a minute once took the silence of all its machines for theirs: the first that were
+ * heard again made the others look silent alone. */
+void watch_forgive(double stood_s) {
+    for (guint i = 0; i < records_machines()->len; i++) {
+        struct machine *m = records_machines()->pdata[i];
+        m->heard = moved_on(m->heard, stood_s);
+        m->reported = moved_on(m->reported, stood_s);
+        m->mine_since = moved_on(m->mine_since, stood_s); /* a boot that was over meanwhile has not been heard of */
+        m->unanswered = 0;
+    }
+}
+
 void watch_init(const struct settings *s) {
     cfg = s;
     memset(zone_cut, 0, sizeof zone_cut);
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -14,5 +14,7 @@
 double watch_zone_keeps(const char *site);
 /* With store_lock held. Nothing is heard of the share's machines in the zone. */
 bool watch_zone_cut(int k, const char *site);
+/* With store_lock held. This controller stood still for so long: silence over that time does not count. */
+void watch_forgive(double stood_s);
 void watch_machines(int k, int up, int heard);
 #endif
--- a/tests/standin/pair.c
+++ b/tests/standin/pair.c
@@ -80,6 +80,14 @@
     pids[i] = 0;
 }
 
+void pair_stop(int i) {
+    if (pids[i]) kill(pids[i], SIGSTOP);
+}
+
+void pair_continue(int i) {
+    if (pids[i]) kill(pids[i], SIGCONT);
+}
+
 void pair_clear(void) {
     for (int i = 0; i < 2; i++) {
         pair_end(i);
--- a/tests/standin/pair.h
+++ b/tests/standin/pair.h
@@ -13,6 +13,8 @@
 void pair_program(int i, const char *program);  /* what that controller is from its next beginning on */
 void pair_begin(int i);
 void pair_end(int i);
+void pair_stop(int i); /* stands still as a whole until it is continued */
+void pair_continue(int i);
 /* Begins both anew with controller `first` leading; false if that was not so within 15 s. */
 bool pair_begin_led_by(int first);
 
