A machine that no record names is returned by its name; its bookings go on the cloud's answer

Cause: all controllers end between the record that drops a returned machine and the one that drops its bookings; nobody can be asked, and the tasks waited for ever. Now: after 5 s without a record the owner of the tasks' share returns the machine by name, and the 200 releases them; if it reports first, that share adopts it. Test: service_meetings 14, two real controllers. Ruled out: a release by time, since a hanging machine may resume.

--- a/src/records/records.c
+++ b/src/records/records.c
@@ -30,6 +30,11 @@
 bool records_refused(void) { return refused; }
 
 int records_share_of(const char *id) {
+    const struct machine *unrecorded = g_hash_table_lookup(by_id, id);
+    if (unrecorded && !unrecorded->known && unrecorded->bookings->len > 0) {
+        const struct booking *b = unrecorded->bookings->pdata[0];
+        return jobs_share(b->job);
+    }
     const char *dash = strrchr(id, '-');
     return dash ? (int)(g_ascii_strtoull(dash + 1, NULL, 10) % (guint64)cfg->size) : 0;
 }
@@ -54,6 +59,7 @@
     m->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     m->warning = -1;
     m->share = m->transfer_to = m->page = m->next_page = -1;
+    m->unrecorded_since = base_now();
     g_hash_table_insert(by_id, m->id, m);
     g_ptr_array_add(machines, m);
     return m;
@@ -81,17 +87,23 @@
     g_free(m);
 }
 
+/* The cloud has confirmed the machine's return: what was booked on it is gone. */
+static void release_all(struct machine *m) {
+    for (guint i = 0; i < m->bookings->len; i++) {
+        struct booking *b = m->bookings->pdata[i];
+        b->over = true;
+        jobs_touch(b->job, b->task);
+    }
+}
+
 /* A machine leaves its record only when the cloud has confirmed its return: whatever was booked on it is gone. */
 static void machine_gone(struct machine *m) {
     g_hash_table_add(gone, g_strdup(m->id));
     cloud_reopen(m->sku, m->site, m->spot);
     m->known = false;
     m->dead = true;
-    for (guint i = 0; i < m->bookings->len; i++) {
-        struct booking *b = m->bookings->pdata[i];
-        b->over = true;
-        jobs_touch(b->job, b->task);
-    }
+    m->unrecorded_since = base_now();
+    release_all(m);
     set_share(m, -1);
     records_drop_stub(m);
     rounds_kick();
@@ -290,16 +302,24 @@
 }
 
 void records_returned(const char *id) {
-    struct machine *m = records_find(id);
+    struct machine *m = g_hash_table_lookup(by_id, id);
     if (!m) return;
     m->dead = true;
-    /* The answer proves that all that was on it is gone. */
+    release_all(m);
+    rounds_kick();
+}
+
+#define UNRECORDED_S 5.0 /* a page or a transfer between shares is in the mirror long before */
+
+bool records_unrecorded(const struct machine *m) {
+    if (m->known || base_since(m->unrecorded_since) < UNRECORDED_S || g_hash_table_contains(unregistered, m->id))
+        return false;
     for (guint i = 0; i < m->bookings->len; i++) {
-        struct booking *b = m->bookings->pdata[i];
-        b->over = true;
-        jobs_touch(b->job, b->task);
+        const struct booking *b = m->bookings->pdata[i];
+        int k = jobs_share(b->job);
+        if (!b->over && membership_mine(k) && base_since(records_shares[k].since) > UNRECORDED_S) return true;
     }
-    rounds_kick();
+    return false;
 }
 
 /* ---- values ---- */
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -37,11 +37,12 @@
 
 struct machine {
     char id[64];
-    bool known;     /* false: only heard of through a booking; no record means that it is gone */
-    int share;      /* -1: none */
-    int page;       /* of its share; -1: in a record of its own, on its way between shares */
-    int64_t placed; /* stamp of the record that says so */
-    int64_t fence;  /* its own token from adoption or a raise; the share's may be higher */
+    bool known;                       /* false: only heard of through a booking; no record means that it is gone */
+    struct timespec unrecorded_since; /* where it is not known: since when */
+    int share;                        /* -1: none */
+    int page;                         /* of its share; -1: in a record of its own, on its way between shares */
+    int64_t placed;                   /* stamp of the record that says so */
+    int64_t fence;                    /* its own token from adoption or a raise; the share's may be higher */
     char address[64], sku[64], site[64];
     const struct flavour_info *flavour;
     bool spot, returning;
@@ -109,8 +110,12 @@
 struct machine *records_find_or_stub(const char *id);
 void records_drop_stub(struct machine *m); /* frees what no record and no booking names any more */
 GPtrArray *records_machines(void);
-GPtrArray *records_of(int k);         /* the machines of a share */
-int records_share_of(const char *id); /* for machines that nobody rented: by their number */
+GPtrArray *records_of(int k); /* the machines of a share */
+/* The share of a machine that nobody rented: that of what is booked on it, or else by its number. */
+int records_share_of(const char *id);
+/* A machine that no record names though tasks of a share of ours are booked on it, for long enough that no record can
+ * be on its way. Only the cloud's answer to its return proves that they are gone. */
+bool records_unrecorded(const struct machine *m);
 int64_t records_token(const struct machine *m);
 bool records_mine(struct machine *m); /* ours now; on a change of owner, what was known under another token goes */
 void records_row(struct machine *m);  /* a report came: a row in the occupancy window */
--- a/src/renting/renting.c
+++ b/src/renting/renting.c
@@ -353,6 +353,23 @@
     return n;
 }
 
+/* If all controllers end between the record that drops a returned machine and the one that drops its bookings, these
+ * name a machine that nobody can ask. That no record names it proves nothing, since records may be read in any order:
+ * taken for gone, such machines once ran tasks that were started elsewhere. It is returned by its name; the cloud's
+ * answer proves that it is gone, and a name that it does not know is ignored. */
+static int unrecorded_machines(char ids[][64], int most, int *busy) {
+    int n = 0;
+    if (records_refused() || !membership_verified()) return 0;
+    for (guint i = 0; i < records_machines()->len && n < most; i++) {
+        const struct machine *m = records_machines()->pdata[i];
+        if (!records_unrecorded(m)) continue;
+        log_info("machine %s: tasks are booked on it and no record names it, returning it", m->id);
+        g_strlcpy(ids[n++], m->id, 64);
+        (*busy)++;
+    }
+    return n;
+}
+
 /* Those with tasks first: until the cloud has answered, these can't start elsewhere. */
 int renting_return_plan(char ids[][64], int most, int *busy) {
     int n = 0;
@@ -365,7 +382,7 @@
                 g_strlcpy(ids[n++], m->id, 64);
                 *busy += with_tasks;
             }
-    return n;
+    return n + unrecorded_machines(ids + n, most - n, busy);
 }
 
 void renting_init(const struct settings *s) { cfg = s; }
--- a/src/service/service_meetings_test.c
+++ b/src/service/service_meetings_test.c
@@ -341,6 +341,25 @@
     assert_int_equal(standin_workers_running("req-90002/0"), 1);
 }
 
+/* All controllers end after the record that drops a machine was written, and before that of its bookings: nobody can
+ * ask the machine. Here it even lives on, and reaches nobody: its tasks start elsewhere on the cloud's word alone. */
+static void unrecorded_machine(void) {
+    long_job("req-90001", 0, 1);
+    long_job("req-90002", 0, 4);
+    int on = standin_workers_on("req-90001/0"), before = standin_cloud_returned();
+    pair_end(0);
+    pair_end(1);
+    standin_workers_reach(on, STANDIN_HANGS);
+    assert_true(standin_state_drop_machine(on));
+    pair_begin(0);
+    pair_begin(1);
+    struct timespec start = base_now();
+    while (standin_cloud_returned() == before && base_since(start) < 30) base_sleep(base_span(0.02));
+    assert_int_equal(standin_cloud_returned(), before + 1);
+    assert_true(pair_runs("req-90001/0", 1, 30) && pair_runs("req-90002/3", 1, 30));
+    assert_true(standin_workers_on("req-90001/0") != on);
+}
+
 static const struct {
     const char *what;
     void (*bring_about)(void);
@@ -360,6 +379,7 @@
     {"late reports", late_reports, 0},
     {"all away", all_away, 0},
     {"a stop not obeyed", stop_not_obeyed, 0},
+    {"a machine that no record names", unrecorded_machine, 0},
 };
 static size_t row;
 
--- a/tests/standin/state.c
+++ b/tests/standin/state.c
@@ -327,6 +327,44 @@
     pthread_mutex_unlock(&lock);
 }
 
+struct page_of {
+    char name[32], key[64];
+    cJSON *page;
+};
+
+/* Takes the machine out of the page, if it is there. */
+static gboolean drop_from_page(gpointer k, gpointer v, gpointer data) {
+    struct page_of *p = data;
+    if (!g_str_has_prefix(k, "fleet/")) return FALSE;
+    cJSON *page = cJSON_Parse(((struct row *)v)->text), *list = cJSON_GetObjectItem(page, "m");
+    for (int i = cJSON_GetArraySize(list); i-- > 0;) {
+        const cJSON *id = cJSON_GetArrayItem(cJSON_GetArrayItem(list, i), 0);
+        if (strcmp(cJSON_GetStringValue(id), p->name) != 0) continue;
+        cJSON_DeleteItemFromArray(list, i);
+        g_strlcpy(p->key, k, sizeof p->key);
+        p->page = page;
+        return TRUE;
+    }
+    cJSON_Delete(page);
+    return FALSE;
+}
+
+bool standin_state_drop_machine(int index) {
+    struct page_of p = {.page = NULL};
+    g_snprintf(p.name, sizeof p.name, "i-%06d", index);
+    pthread_mutex_lock(&lock);
+    g_tree_foreach(rows, drop_from_page, &p);
+    if (p.page) {
+        char *text = cJSON_PrintUnformatted(p.page);
+        epoch++;
+        put(p.key, text, 0);
+        free(text);
+    }
+    pthread_mutex_unlock(&lock);
+    cJSON_Delete(p.page);
+    return p.page != NULL;
+}
+
 char *standin_state_value(const char *key) {
     pthread_mutex_lock(&lock);
     end_leases();
--- a/tests/standin/state.h
+++ b/tests/standin/state.h
@@ -21,6 +21,7 @@
 void standin_state_slow(double seconds);                   /* every answer takes that long; 0: none does */
 void standin_state_put(const char *key, const char *json); /* as another controller would */
 void standin_state_remove(const char *key);
+bool standin_state_drop_machine(int index); /* from the page that names it; false: none does */
 /* From now on more operations, or a larger value, get 400, and more changes within a second 429. */
 void standin_state_limits(double value_kb, int txn_ops, int write_rps);
 struct timespec standin_state_done_at(const char *uid); /* when the job's record first said done; zero: never */
