--- a/src/quota/changes.c
+++ b/src/quota/changes.c
@@ -67,11 +67,12 @@
 }
 
 /* The duties of the home's owner: it divides the team, follows the settings, and takes the division back. */
-static bool change_division(struct change *c, const struct quota_team *t) {
+static bool change_division(struct change *c, struct quota_team *t) {
     struct quota_view agreed;
     bool known = quota_view_agreed(t->team, &agreed);
     struct quota_record next = t->record;
     if (t->damaged || !settled(t->home)) return false;
+    if (t->recorded) quota_look(t);
     if (!t->recorded) {
         if (!known || agreed.shares <= 1 || !format_divided()) return false;
         next = quota_record_create(t->home, quota_settings->size, agreed.shares, agreed.limit, agreed.guarantee);
@@ -93,7 +94,7 @@
                     quota_amount_equal(guarantee, t->record.guarantee);
         if (!same)
             quota_record_change(&next, t->home, quota_settings->size, shares, limit, guarantee);
-        else if (!quota_record_prune(&next, t->home, quota_settings->size))
+        else if (!quota_record_prune(&next, t->home, quota_settings->size, t->used))
             return false;
     }
     begin_change(c, t);
--- a/src/quota/parts.c
+++ b/src/quota/parts.c
@@ -87,11 +87,12 @@
     divide_guarantee(r, home, size);
 }
 
-bool quota_record_prune(struct quota_record *r, int home, int size) {
+bool quota_record_prune(struct quota_record *r, int home, int size, const struct quota_amount *used) {
     int kept = 0;
     for (int i = 0; i < r->n_parts; i++) {
         const struct quota_part *p = &r->parts[i];
-        bool empty = quota_amount_equal(p->limit, nothing) && quota_amount_equal(p->guarantee, nothing);
+        bool empty = quota_amount_equal(p->limit, nothing) && quota_amount_equal(p->guarantee, nothing) &&
+                     quota_amount_equal(used[i], nothing);
         if (!empty || !quota_part_closing(r, home, size, p->share)) r->parts[kept++] = *p;
     }
     bool pruned = kept < r->n_parts;
@@ -216,19 +217,32 @@
     return changed;
 }
 
+/* What the parts hold beyond the limit, and the other shares beyond their parts: they started it before there was a
+ * limit. Each owner leaves all of that free by itself, so that no start leads above the limit whatever the others do
+ * meanwhile. */
+static int64_t to_leave_free(const struct quota_record *r, int part, int d, int64_t limit,
+                             const struct quota_amount *used) {
+    int64_t held = 0, beyond = 0;
+    for (int i = 0; i < r->n_parts; i++) {
+        held += r->parts[i].limit.of[d];
+        if (i != part) beyond += MAX(used[i].of[d] - r->parts[i].limit.of[d], 0);
+    }
+    return MAX(held - limit, 0) + beyond;
+}
+
 struct quota_amount quota_allowance(const struct quota_record *r, int part, struct quota_amount limit,
-                                    struct quota_amount used, const struct quota_targets *targets, bool closing) {
-    struct quota_amount out, held = nothing;
-    for (int i = 0; i < r->n_parts; i++) held = quota_amount_sum(held, r->parts[i].limit);
+                                    const struct quota_amount *used, const struct quota_targets *targets,
+                                    bool closing) {
+    struct quota_amount out;
     for (int d = 0; d < QUOTA_DIMENSIONS; d++) {
-        out.of[d] = INT64_MAX;
+        bool named = limit.of[d] > 0;
+        /* Where a limit is named for the first time, nothing starts before the record has it. */
+        out.of[d] = named ? 0 : INT64_MAX;
         if (!bounded(r, d)) continue;
-        /* Each owner leaves free by itself all that the parts hold beyond the limit, so that no start leads above it
-         * whatever the others do meanwhile. */
-        int64_t least = limit.of[d] > 0 ? MIN(r->limit.of[d], limit.of[d]) : r->limit.of[d];
-        int64_t over = MAX(held.of[d] - least, 0), may = r->parts[part].limit.of[d] - over;
+        int64_t least = named ? MIN(r->limit.of[d], limit.of[d]) : r->limit.of[d];
+        int64_t may = r->parts[part].limit.of[d] - to_leave_free(r, part, d, least, used);
         if (targets && targets->scarce[d]) may = MIN(may, targets->of[part].of[d]);
-        if (closing) may = MIN(may, used.of[d]);
+        if (closing) may = MIN(may, used[part].of[d]);
         out.of[d] = MAX(may, 0);
     }
     return out;
--- a/src/quota/parts.h
+++ b/src/quota/parts.h
@@ -40,8 +40,8 @@
  * does, and may fall below zero until the owners have lowered their parts. */
 void quota_record_change(struct quota_record *r, int home, int size, int shares, struct quota_amount limit,
                          struct quota_amount guarantee);
-/* Removes closing parts that hold nothing; true if there were any. */
-bool quota_record_prune(struct quota_record *r, int home, int size);
+/* Removes closing parts that hold nothing, of shares that use nothing; true if there were any. */
+bool quota_record_prune(struct quota_record *r, int home, int size, const struct quota_amount *used);
 /* Raises (or lowers) a share's part from (or to) what is unassigned; false, and no change, if either would fall below
  * zero by it. */
 bool quota_record_move(struct quota_record *r, int share, struct quota_amount by);
@@ -73,9 +73,10 @@
                      const struct quota_targets *targets, const bool *owned);
 
 /* What a share may use in all: its part, less what the limit lacks to all parts, and no more than its target where the
- * limit is scarce. `limit` is the lowest that any controller's settings name. Dimensions without a limit: INT64_MAX. */
+ * limit is scarce. `limit` is the lowest that any controller's settings name, 0 where none does. Dimensions without a
+ * limit: INT64_MAX. */
 struct quota_amount quota_allowance(const struct quota_record *r, int part, struct quota_amount limit,
-                                    struct quota_amount used, const struct quota_targets *targets, bool closing);
+                                    const struct quota_amount *used, const struct quota_targets *targets, bool closing);
 
 /* How much of the team's work in a share may be stopped for others: what the team uses beyond its whole guarantee, as
  * far as the other shares surely keep their parts of it. */
--- a/src/quota/quota.c
+++ b/src/quota/quota.c
@@ -61,7 +61,7 @@
     if (t->damaged || at < 0 || records_shares[share].conflict_epoch > store_epoch()) return no_room;
     bool closing = quota_part_closing(&t->record, t->home, quota_settings->size, share);
     struct quota_amount may =
-        quota_allowance(&t->record, at, quota_view_least_limit(team), t->used[at], &t->targets, closing);
+        quota_allowance(&t->record, at, quota_view_least_limit(team), t->used, &t->targets, closing);
     return (struct quota_bound){bound_of(may.of[QUOTA_VCPUS]), bound_of(may.of[QUOTA_GPUS])};
 }
 
