--- a/src/main.c
+++ b/src/main.c
@@ -14,10 +14,11 @@
 static struct settings cfg;
 
 int main(int argc, char **argv) {
-    gchar *config = NULL;
+    gchar *config = NULL, *quota = NULL;
     gboolean check = FALSE, version = FALSE;
     GOptionEntry entries[] = {
         {"config", 'c', 0, G_OPTION_ARG_FILENAME, &config, "the platform's settings (JSON)", "FILE"},
+        {"quota", 0, 0, G_OPTION_ARG_FILENAME, &quota, "which teams are divided (HCL), see docs/quota.md", "FILE"},
         {"check", 0, 0, G_OPTION_ARG_NONE, &check, "check the settings and end", NULL},
         {"version", 0, 0, G_OPTION_ARG_NONE, &version, "print the version and end", NULL},
         {NULL, 0, 0, 0, NULL, NULL, NULL},
@@ -26,7 +27,8 @@
     GOptionContext *o = g_option_context_new("- a cluster scheduler");
     g_option_context_set_description(
         o,
-        "Operators' own settings (HCL) are read from the file that FIELDFIELD_TUNING names.\n"
+        "Operators' own settings (HCL) are read from the file that FIELDFIELD_TUNING names; FIELDFIELD_QUOTA\n"
+        "names the file that --quota does.\n"
         "LOG_LEVEL is error, info or debug.");
     g_option_context_add_main_entries(o, entries, NULL);
     if (!g_option_context_parse(o, &argc, &argv, &e)) {
@@ -42,6 +44,7 @@
         fprintf(stderr, "fieldfield: --config FILE is needed (see --help)\n");
         return 2;
     }
+    if (quota) g_setenv("FIELDFIELD_QUOTA", quota, TRUE);
     char err[512];
     if (!settings_load(config, &cfg, err, sizeof err)) {
         fprintf(stderr, "fieldfield: %s\n", err);
--- a/src/service/service_quota_test.c
+++ b/src/service/service_quota_test.c
@@ -202,20 +202,199 @@
     }
 }
 
+/* A machine of unknown state, with tasks of the team. */
+static void one_machine(enum standin_reach reach) {
+    submit_red(0, "req-90001", "standing", 2);
+    assert_true(cluster_runs("req-90001/0", 1, 20) && cluster_runs("req-90001/1", 1, 20));
+    struct burst before[CONTROLLERS], during[CONTROLLERS];
+    burst_everywhere(before, "red", 0);
+    int on = standin_workers_on("req-90001/0");
+    assert_true(on >= 0);
+    standin_workers_reach(on, reach);
+    struct timespec began = base_now();
+    burst_everywhere(during, "red", 1);
+    cluster_wait(began, 6);
+    standin_workers_reach(on, STANDIN_WELL);
+    burst_ends(before);
+    burst_ends(during);
+    assert_true(cluster_runs("req-90001/0", 1, 30) && cluster_runs("req-90001/1", 1, 30));
+    cancel(1, "req-90001");
+}
+static void machine_is_deaf(void) { one_machine(STANDIN_DEAF); }
+static void machine_hangs(void) { one_machine(STANDIN_HANGS); }
+static void commands_are_held(void) { one_machine(STANDIN_HELD); }
+
+/* Long arrays of a team, one at each controller. */
+static void long_arrays(const char *team, int serial, int tasks) {
+    for (int i = 0; i < CONTROLLERS; i++) {
+        char uid[32];
+        g_snprintf(uid, sizeof uid, "req-9%d%03d", serial, i);
+        submit(i, &(struct cluster_job){uid, team, "batch", "normal", tasks, 2, 1, NULL});
+    }
+}
+
+/* All machines are full with work beyond the guarantees of others. */
+#define MACHINES 4 /* of 4 GPUs */
+
+static void one_team_below(void) {
+    standin_cloud_capacity(MACHINES);
+    long_arrays("red", 1, 6); /* 18 of which the limit allows 12 */
+    long_arrays("green", 2, 4);
+    double full = history_now();
+    assert_true(history_reached(history_log(), "red", 0, 1) < 30);
+    while (history_peak(history_log(), "red") + history_peak(history_log(), "green") < 4 * MACHINES &&
+           history_now() < full + 30)
+        base_sleep(base_span(0.1));
+    double began = history_now();
+    long_arrays("blue", 3, 2); /* more than its guarantee, together */
+    while (history_reached(history_log(), "blue", began, GUARANTEE) < 0 && history_now() < began + 30)
+        base_sleep(base_span(0.1));
+    double reached = history_reached(history_log(), "blue", began, GUARANTEE);
+    if (reached < 0 || reached > GUARANTEE_BOUND_S) fail_msg("blue had its guarantee after %.1f s", reached);
+    base_sleep(base_span(3));
+    /* Nobody took from red what lies within its own. */
+    double least = history_least(history_log(), "red", began, history_now());
+    if (least < MIN(GUARANTEE, history_peak(history_log(), "red"))) fail_msg("red fell to %g", least);
+}
+
+static void two_teams_below(void) {
+    standin_cloud_capacity(MACHINES);
+    long_arrays("green", 2, 6);
+    double full = history_now();
+    while (history_peak(history_log(), "green") < 4 * MACHINES && history_now() < full + 30) base_sleep(base_span(0.1));
+    assert_true(history_peak(history_log(), "green") == 4 * MACHINES);
+    double began = history_now();
+    long_arrays("red", 1, 2);
+    long_arrays("blue", 3, 2);
+    static const char *const teams[] = {"red", "blue"};
+    for (int t = 0; t < 2; t++) {
+        while (history_reached(history_log(), teams[t], began, GUARANTEE) < 0 && history_now() < began + 30)
+            base_sleep(base_span(0.1));
+        double reached = history_reached(history_log(), teams[t], began, GUARANTEE);
+        if (reached < 0 || reached > GUARANTEE_BOUND_S) fail_msg("%s had it after %.1f s", teams[t], reached);
+    }
+}
+
+/* One controller after the other comes back with a lower limit, under load. */
+static void limit_lowered(void) {
+    struct burst red[CONTROLLERS];
+    submit_red(0, "req-90001", "standing", 7);
+    submit_red(1, "req-90002", "standing", 2); /* a gang of four fits beside it */
+    assert_true(cluster_runs("req-90001/6", 1, 20) && cluster_runs("req-90002/1", 1, 20));
+    double lower = 0;
+    for (int i = 0; i < CONTROLLERS; i++) {
+        cluster_end(i);
+        assert_true(cluster_teams(i, LOWER_TEAMS));
+        cluster_begin(i);
+        assert_true(cluster_shared(20));
+        base_sleep(base_span(1));
+        if (i == 0) lower = history_now(); /* one names it: nothing starts above it any more */
+    }
+    burst_everywhere(red, "red", 0);
+    base_sleep(base_span(3));
+    /* What runs beyond it is not killed. */
+    assert_int_equal(standin_workers_running("req-90001/0") + standin_workers_running("req-90002/0"), 2);
+    assert_true(history_least(history_log(), "red", lower, history_now()) >= 9);
+    cancel(0, "req-90001");
+    burst_ends(red);
+    assert_int_equal(history_above(history_log(), "red", LOWER_LIMIT, lower), 0);
+    cancel(1, "req-90002");
+}
+
+/* Controllers run with different files for long. */
+static void files_differ(void) {
+    struct burst red[CONTROLLERS];
+    cluster_end(2);
+    assert_true(cluster_teams(2, LOWER_TEAMS));
+    cluster_begin(2);
+    assert_true(cluster_shared(20));
+    base_sleep(base_span(1));
+    double lower = history_now();
+    burst_everywhere(red, "red", 0);
+    burst_ends(red);
+    assert_int_equal(history_above(history_log(), "red", LOWER_LIMIT, lower), 0);
+    cluster_end(2);
+    assert_true(cluster_teams(2, TEAMS));
+    cluster_begin(2);
+    assert_true(cluster_shared(20));
+    burst_everywhere(red, "red", 1);
+    burst_ends(red);
+    assert_true(history_peak(history_log(), "red") > LOWER_LIMIT); /* raised again */
+}
+
+static bool divided(const char *team);
+static bool becomes_divided(bool wanted, double within);
+
+/* The division is halted half-way: two of three controllers have the file, for long. */
+static void halted(void) {
+    struct burst red[CONTROLLERS];
+    burst_everywhere(red, "red", 0);
+    burst_ends(red);
+    assert_false(divided("red")); /* not in force before the last has it */
+    cluster_end(2);
+    assert_true(cluster_quota(2, DIVIDED));
+    cluster_begin(2);
+    assert_true(becomes_divided(true, 20));
+    burst_everywhere(red, "red", 1);
+    burst_ends(red);
+}
+
+static const char *production;
+
+static void all_with(const char *program, const char *file) {
+    for (int i = 0; i < CONTROLLERS; i++) {
+        cluster_end(i);
+        if (program) cluster_program(i, program);
+        assert_true(cluster_quota(i, file));
+        cluster_begin(i);
+        assert_true(cluster_shared(20));
+    }
+}
+
+/* The division is taken back under load, and then the version in production comes back. */
+static void taken_back(void) {
+    struct burst red[CONTROLLERS];
+    submit_red(0, "req-90001", "standing", 2);
+    assert_true(cluster_runs("req-90001/0", 1, 20) && cluster_runs("req-90001/1", 1, 20));
+    burst_everywhere(red, "red", 0);
+    all_with(NULL, UNDIVIDED);
+    burst_ends(red);
+    cancel(0, "req-90001"); /* a service stays in its share until it ends */
+    assert_true(becomes_divided(false, 20));
+    submit_red(0, "req-90002", "standing", 2);
+    assert_true(cluster_runs("req-90002/0", 1, 20) && cluster_runs("req-90002/1", 1, 20));
+    all_with(production, NULL);
+    assert_true(cluster_becomes("req-10000", "done", 10));
+    burst_everywhere(red, "red", 1);
+    burst_ends(red);
+    assert_int_equal(standin_workers_starts_of("req-90002/"), 2); /* it ran on */
+    cancel(1, "req-90002");
+}
+
 static const struct row {
     const char *what;
     void (*bring_about)(void);
+    bool halted; /* the third controller begins without the file */
 } rows[] = {
-    {"a burst at every controller", burst},
-    {"an owner ends", owner_ends},
-    {"an owner is back in a fraction of a second", owner_is_back},
-    {"an owner stands still past its lease", owner_stands_still},
-    {"an owner is cut from store and peers", owner_is_cut},
-    {"the store refuses one owner", owner_is_refused},
-    {"transactions come late", transactions_late},
-    {"the store is out over transfers", store_out},
-    {"two gangs of more than half", two_gangs},
-    {"a gang and a flood", gang_and_flood},
+    {"a burst at every controller", burst, false},
+    {"an owner ends", owner_ends, false},
+    {"an owner is back in a fraction of a second", owner_is_back, false},
+    {"an owner stands still past its lease", owner_stands_still, false},
+    {"an owner is cut from store and peers", owner_is_cut, false},
+    {"the store refuses one owner", owner_is_refused, false},
+    {"transactions come late", transactions_late, false},
+    {"the store is out over transfers", store_out, false},
+    {"two gangs of more than half", two_gangs, false},
+    {"a gang and a flood", gang_and_flood, false},
+    {"a deaf machine", machine_is_deaf, false},
+    {"a machine that hangs", machine_hangs, false},
+    {"held commands", commands_are_held, false},
+    {"a team below its guarantee", one_team_below, false},
+    {"two teams below theirs", two_teams_below, false},
+    {"a limit lowered under load", limit_lowered, false},
+    {"controllers with different files", files_differ, false},
+    {"a division halted half-way", halted, true},
+    {"a division taken back", taken_back, false},
 };
 static size_t row;
 
@@ -227,15 +406,20 @@
     return text != NULL;
 }
 
+static bool becomes_divided(bool wanted, double within) {
+    struct timespec start = base_now();
+    while ((divided("red") != wanted || divided("blue") != wanted) && base_since(start) < within)
+        base_sleep(base_span(0.05));
+    return divided("red") == wanted && divided("blue") == wanted;
+}
+
 static void begin_divided(void) {
     for (int i = 0; i < CONTROLLERS; i++) {
-        assert_true(cluster_quota(i, DIVIDED));
+        assert_true(cluster_quota(i, rows[row].halted && i == 2 ? NULL : DIVIDED));
         cluster_begin(i);
     }
     assert_true(cluster_shared(20));
-    struct timespec start = base_now();
-    while (!(divided("red") && divided("blue")) && base_since(start) < 10) base_sleep(base_span(0.05));
-    assert_true(divided("red") && divided("blue"));
+    if (!rows[row].halted) assert_true(becomes_divided(true, 10));
 }
 
 static void quota(void **state) {
@@ -243,8 +427,8 @@
     begin_divided();
     rows[row].bring_about();
     const struct history *log = history_log();
-    assert_int_equal(history_above(log, "red", LIMIT), 0);
-    assert_int_equal(history_above(log, "blue", LIMIT), 0);
+    assert_int_equal(history_above(log, "red", LIMIT, 0), 0);
+    assert_int_equal(history_above(log, "blue", LIMIT, 0), 0);
     assert_int_equal(history_twice(log), 0);
     for (int t = 0; t < 2; t++) {
         const char *team = t ? "blue" : "red";
@@ -259,6 +443,7 @@
     static const struct cluster_site site = {
         .controllers = CONTROLLERS, .shares = 3, .teams = {TEAMS}, .first_sees_no_peer = true};
     row = argc > 2 ? (size_t)atoi(argv[2]) : 0;
+    production = argc > 3 ? argv[3] : NULL;
     if (row >= G_N_ELEMENTS(rows) || argc < 2 || !cluster_start(argv[1], &site)) return 2;
     standin_cloud_willing();
     const struct CMUnitTest tests[] = {{rows[row].what, quota, NULL, NULL, NULL}};
--- a/src/transfer/transfer.c
+++ b/src/transfer/transfer.c
@@ -105,6 +105,13 @@
     return found;
 }
 
+/* A divided team below its guarantee goes before one that has its own: its work may lie in a share whose machines are
+ * few, and waited there for ever while the share that had them all had work of its own waiting. */
+static bool claims_guarantee_from(const struct job *j, int team) {
+    return quota_divided(j->spec.team) && team != j->spec.team && preempt_beyond(j->spec.team) + j->spec.gpus <= 1e-6 &&
+           preempt_beyond(team) >= 0;
+}
+
 /* The machine of share K that is easiest to spare for the job: an empty one, else one whose tasks may all be stopped
  * for it. */
 static struct machine *donation(int k, const struct job *j, bool within) {
@@ -114,8 +121,8 @@
     /* What waits here comes first, unless the other's job goes before it. */
     GPtrArray *jobs = jobs_active_of(k);
     for (guint i = 0; i < jobs->len; i++) {
-        struct job *o = jobs->pdata[i];
-        if (o->unplaced && o->rank >= j->rank) return NULL;
+        const struct job *o = jobs->pdata[i];
+        if (o->unplaced && o->rank >= j->rank && !(within && claims_guarantee_from(j, o->spec.team))) return NULL;
     }
     for (guint i = 0; i < records_of(k)->len; i++) {
         struct machine *m = records_of(k)->pdata[i];
--- a/tests/standin/fleet.c
+++ b/tests/standin/fleet.c
@@ -39,6 +39,7 @@
 static struct worker workers[MOST];
 static int n_workers, returned, reused, starts, most, peak, first_port = 18300;
 static const char *peak_prefix;
+static int capacity = MOST;
 static bool mute;
 static const char *controllers[8], *names[8];
 static int n_controllers;
@@ -318,7 +319,9 @@
     int64_t n = 0;
     base_int(o, "how_many", &n);
     cJSON *out = cJSON_CreateObject(), *hosts = cJSON_AddArrayToObject(out, "hosts");
-    for (int64_t i = 0; i < n && n_workers < MOST; i++) {
+    int rented = 0;
+    for (int i = 0; i < n_workers; i++) rented += workers[i].alive;
+    for (int64_t i = 0; i < n && n_workers < MOST && rented + i < capacity; i++) {
         struct worker *w = &workers[n_workers];
         g_snprintf(w->id, sizeof w->id, "i-%06d", n_workers);
         g_snprintf(w->address, sizeof w->address, "127.0.0.1:%d", first_port + n_workers);
@@ -427,6 +430,7 @@
 }
 int standin_workers_starts_of(const char *prefix) { GET(starts_of(prefix)) }
 void standin_cloud_willing(void) { SET(refused = G_N_ELEMENTS(refusals)) }
+void standin_cloud_capacity(int machines) { SET(capacity = machines) }
 void standin_workers_ports(int first) { SET(first_port = first) }
 void standin_workers_watch(const char *prefix) { SET(peak_prefix = prefix; peak = 0) }
 int standin_workers_peak(void) { GET(peak) }
--- a/tests/standin/fleet.h
+++ b/tests/standin/fleet.h
@@ -5,8 +5,9 @@
 
 bool standin_cloud_start(const char *address, const char *controller);
 int standin_cloud_rented(void);
-int standin_cloud_refused(void);  /* it refuses the first three rentals, each in another way */
-void standin_cloud_willing(void); /* it refuses none */
+int standin_cloud_refused(void);           /* it refuses the first three rentals, each in another way */
+void standin_cloud_willing(void);          /* it refuses none */
+void standin_cloud_capacity(int machines); /* it has no more than so many at a time */
 int standin_cloud_returned(void);
 int standin_cloud_claims_reused(void); /* a claim used for two different orders */
 
--- a/tests/standin/history.c
+++ b/tests/standin/history.c
@@ -151,11 +151,23 @@
     return peak;
 }
 
-int history_above(const struct history *h, const char *team, double limit) {
+double history_least(const struct history *h, const char *team, double from, double to) {
+    struct walk w;
+    double least = -1, before = 0;
+    walk_begin(&w, h, team);
+    while (walk_step(&w) && w.at <= to) {
+        if (w.at >= from) least = least < 0 ? MIN(before, w.gpus) : MIN(least, w.gpus);
+        before = w.gpus;
+    }
+    walk_end(&w);
+    return least < 0 ? before : least;
+}
+
+int history_above(const struct history *h, const char *team, double limit, double from) {
     struct walk w;
     int n = 0;
     walk_begin(&w, h, team);
-    while (walk_step(&w)) n += w.came && w.gpus > limit + ROUNDING;
+    while (walk_step(&w)) n += w.came && w.at >= from && w.gpus > limit + ROUNDING;
     walk_end(&w);
     return n;
 }
--- a/tests/standin/history.h
+++ b/tests/standin/history.h
@@ -18,8 +18,10 @@
 
 /* The most GPUs that the team's tasks held at one moment. */
 double history_peak(const struct history *h, const char *team);
-/* How often a task that came took its team above the limit. */
-int history_above(const struct history *h, const char *team, double limit);
+/* The least that they held at any moment of a span. */
+double history_least(const struct history *h, const char *team, double from, double to);
+/* How often, from one time on, a task that came took its team above the limit. */
+int history_above(const struct history *h, const char *team, double limit, double from);
 /* The longest time in seconds for which the team held less than its guarantee while a task of it that fits into the
  * guarantee had been accepted, was not cancelled, and had not come. */
 double history_starved(const struct history *h, const char *team, double guarantee);
--- a/tests/standin/history_test.c
+++ b/tests/standin/history_test.c
@@ -85,16 +85,37 @@
             if (s->what == COMES || s->what == GOES) history_task(h, s->at, s->name, s->what == COMES);
         }
         if (history_peak(h, "red") != rows[r].peak) fail_msg("%s: peak %g", rows[r].what, history_peak(h, "red"));
-        if (history_above(h, "red", LIMIT) != rows[r].above) fail_msg("%s: above the limit", rows[r].what);
+        if (history_above(h, "red", LIMIT, 0) != rows[r].above) fail_msg("%s: above the limit", rows[r].what);
         if (history_twice(h) != rows[r].twice) fail_msg("%s: on two machines", rows[r].what);
         double starved = history_starved(h, "red", GUARANTEE);
         if (starved < rows[r].starved - 1e-9 || starved > rows[r].starved + 1e-9)
             fail_msg("%s: starved for %g s", rows[r].what, starved);
+        double last = rows[r].steps[0].at;
+        for (int i = 0; i < STEPS_MOST && rows[r].steps[i].name; i++) last = MAX(last, rows[r].steps[i].at);
+        if (history_above(h, "red", LIMIT, last + 1) != 0) fail_msg("%s: above after its end", rows[r].what);
         history_free(h);
     }
 }
 
+/* What a team held least in a span, and when it held so much first. */
+static void spans(void **state) {
+    (void)state;
+    struct history *h = history_new();
+    history_accepted(h, 0, "a", "red", 3, 1);
+    history_task(h, 1, "a/0", true);
+    history_task(h, 2, "a/1", true);
+    history_task(h, 5, "a/0", false);
+    history_task(h, 6, "a/2", true);
+    assert_true(history_least(h, "red", 2.5, 4) == 2);
+    assert_true(history_least(h, "red", 2.5, 7) == 1);
+    assert_true(history_reached(h, "red", 0, 2) == 2);
+    assert_true(history_reached(h, "red", 3, 2) == 3);
+    assert_true(history_reached(h, "red", 0, 3) < 0);
+    assert_true(history_mean(h, "red", 2, 6, 2) == 0.875);
+    history_free(h);
+}
+
 int main(void) {
-    const struct CMUnitTest tests[] = {cmocka_unit_test(histories)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(histories), cmocka_unit_test(spans)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
