--- a/src/transfer/transfer.c
+++ b/src/transfer/transfer.c
@@ -105,11 +105,28 @@
     return found;
 }
 
-/* A divided team below its guarantee goes before one that has its own: its work may lie in a share whose machines are
- * few, and waited there for ever while the share that had them all had work of its own waiting. */
-static bool claims_guarantee_from(const struct job *j, int team) {
-    return quota_divided(j->spec.team) && team != j->spec.team && preempt_beyond(j->spec.team) + j->spec.gpus <= 1e-6 &&
-           preempt_beyond(team) >= 0;
+/* A job of the share waits for a machine, and is of the same rank as the other's or a higher one. */
+static bool own_work_first(int k, const struct job *j) {
+    GPtrArray *jobs = jobs_active_of(k);
+    for (guint i = 0; i < jobs->len; i++) {
+        const struct job *o = jobs->pdata[i];
+        if (o->unplaced && o->rank >= j->rank) return true;
+    }
+    return false;
+}
+
+/* The same, but of the share's jobs those count that are within their teams' guarantees. A divided team's job may lie
+ * in a share that has few machines: it waited there for ever, though within its guarantee, while the share that had
+ * them all had work beyond its guarantees waiting. */
+static bool own_guarantee_first(int k, const struct job *j) {
+    GArray *order = rounds_rank(k);
+    bool first = false;
+    for (guint i = 0; i < order->len && !first; i++) {
+        const struct rounds_ranked *o = &g_array_index(order, struct rounds_ranked, i);
+        first = o->within && o->j->unplaced && o->j->rank >= j->rank;
+    }
+    g_array_free(order, TRUE);
+    return first;
 }
 
 /* The machine of share K that is easiest to spare for the job: an empty one, else one whose tasks may all be stopped
@@ -118,12 +135,8 @@
     struct machine *best = NULL, *reception = rounds_reception(k);
     double best_cost = 0;
     const char *site = placement_site(j);
-    /* What waits here comes first, unless the other's job goes before it. */
-    GPtrArray *jobs = jobs_active_of(k);
-    for (guint i = 0; i < jobs->len; i++) {
-        const struct job *o = jobs->pdata[i];
-        if (o->unplaced && o->rank >= j->rank && !(within && claims_guarantee_from(j, o->spec.team))) return NULL;
-    }
+    bool claims = within && quota_divided(j->spec.team);
+    if (claims ? own_guarantee_first(k, j) : own_work_first(k, j)) return NULL;
     for (guint i = 0; i < records_of(k)->len; i++) {
         struct machine *m = records_of(k)->pdata[i];
         if (m == reception || m->touched || base_since(m->mine_since) < 5 || m->transfer_to >= 0 || !m->up ||
