--- /dev/null
+++ b/rehearsal/scenario_test.c
@@ -0,0 +1,50 @@
+/* The schema of scenarios: what is wrong is named. */
+#include "scenario.h"
+
+#include <string.h>
+
+#include "../tests/standin/site.h"
+
+#define HEAD "what = \"w\"\ncontrollers = 2\nmachines = 4\nstarved_most = 5.0\njobs_end_within = 20.0\n"
+#define TEAM "teams = ( { name = \"red\", guarantee = 2, limit = 4, shares = 2 } )\n"
+
+static void schema(void **state) {
+    (void)state;
+    static const struct {
+        const char *text, *wrong; /* what the error must name, NULL: good */
+    } rows[] = {
+        {HEAD TEAM "steps = ( { at = 0, action = \"burst\", team = \"red\", count = 3 } )", NULL},
+        {HEAD TEAM "steps = ( { at = 0.5, action = \"cut\", controller = 1 } )", NULL},
+        {HEAD TEAM "steps = ( { at = 0, action = \"burst\", team = \"red\" } )", "team"},
+        {HEAD TEAM "steps = ( { at = 0, action = \"burst\", team = \"rot\", count = 3 } )", "team"},
+        {HEAD TEAM "steps = ( { at = 0, action = \"explode\", controller = 1 } )", "action"},
+        {HEAD TEAM "steps = ( { at = 0, action = \"end\", controller = 2 } )", "controller"},
+        {HEAD TEAM "steps = ( { at = 0, action = \"end\", controller = 1, why = \"x\" } )", "why"},
+        {HEAD TEAM "steps = ( { action = \"end\", controller = 1 } )", "at"},
+        {HEAD TEAM "steps = ( { at = \"soon\", action = \"end\", controller = 1 } )", "at"},
+        {HEAD TEAM "steps = ( 3 )", "entry"},
+        {HEAD TEAM "steps = 3", "steps"},
+        {HEAD "teams = ( { name = \"red\", guarantee = 9, limit = 4 } )\nsteps = ( )", "guarantee"},
+        {HEAD "steps = ( )", "teams"},
+        {TEAM "steps = ( )", "what"},
+        {HEAD TEAM "steps = (", "line"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct scenario s;
+        char err[256] = "", *path = NULL;
+        int fd = g_file_open_tmp("fieldfield-scenario-XXXXXX", &path, NULL);
+        assert_true(fd >= 0);
+        close(fd);
+        assert_true(g_file_set_contents(path, rows[i].text, -1, NULL));
+        bool ok = scenario_read(path, &s, err, sizeof err);
+        if (ok != (rows[i].wrong == NULL)) fail_msg("%s: %s", rows[i].text, err);
+        if (rows[i].wrong && !strstr(err, rows[i].wrong)) fail_msg("%s: %s", rows[i].text, err);
+        unlink(path);
+        g_free(path);
+    }
+}
+
+int main(void) {
+    const struct CMUnitTest tests[] = {cmocka_unit_test(schema)};
+    return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/src/format/format_test.c
+++ b/src/format/format_test.c
@@ -50,12 +50,48 @@
     store_txn_free(&t);
 }
 
+/* Divided teams are in force while every controller's latest record says that it asks for them; a controller whose
+ * settings no longer do takes its record back, so that an earlier version may come. */
+static void division(void **state) {
+    (void)state;
+    static const struct {
+        const char *what;
+        int shares; /* of a team, by our own settings */
+        const char *key, *record;
+        bool in_force;
+        int announces; /* version that our own record is to name; 0: it names it already */
+    } rows[] = {
+        {"ours does not divide", 1, "format/n0", "{\"version\":2}", false, 0},
+        {"now it does", 2, "format/n1", "{\"version\":2}", false, 3},
+        {"recorded", 2, "format/n0", "{\"version\":3}", false, 0},
+        {"the other, too", 2, "format/n1", "{\"version\":3}", true, 0},
+        {"the other took it back", 2, "format/n1", "{\"version\":2}", false, 0},
+        {"and not", 2, "format/n1", "{\"version\":3}", true, 0},
+        {"ours no longer divides", 1, "format/n1", "{\"version\":3}", true, 2},
+        {"taken back", 1, "format/n0", "{\"version\":2}", false, 0},
+        {"a record that is gone", 2, "format/n1", NULL, false, 3},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct store_txn t;
+        cfg.teams[0].shares = rows[i].shares;
+        put(rows[i].key, rows[i].record);
+        store_txn_init(&t);
+        int64_t version = 0;
+        if (format_announce(&t))
+            base_int(cJSON_GetObjectItem(cJSON_GetArrayItem(t.ops, 0), "data"), "version", &version);
+        if (format_divided() != rows[i].in_force || version != rows[i].announces)
+            fail_msg("%s: %d, announces %lld", rows[i].what, format_divided(), (long long)version);
+        assert_true(format_active()); /* the second layout stays */
+        store_txn_free(&t);
+    }
+}
+
 int main(void) {
     char err[256];
     if (!settings_parse(SITE_JSON, "f.json", &cfg, err, sizeof err)) return 1;
     base_log_init("fatal");
     store_init(&cfg);
     format_init(&cfg);
-    const struct CMUnitTest tests[] = {cmocka_unit_test(activation)};
+    const struct CMUnitTest tests[] = {cmocka_unit_test(activation), cmocka_unit_test(division)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/jobs/jobs_test.c
+++ b/src/jobs/jobs_test.c
@@ -158,6 +158,43 @@
     assert_int_equal(j->state, JOB_DONE);
 }
 
+/* Only a job in another share than its team's home names it; a record that names another moves it. */
+static void shares(void **state) {
+    (void)state;
+    static const struct {
+        const char *share; /* as in the record */
+        int lies;
+        bool foreign;
+    } rows[] = {{"", 0, false},
+                {",\"share\":1", 1, true},
+                {",\"share\":2", 0, false}, /* there are two */
+                {",\"share\":-1", 0, false},
+                {",\"share\":\"1\"", 0, false},
+                {",\"share\":1", 1, true},
+                {"", 0, false}};
+    char *spec = site_with(good, "req-000412", "req-000777");
+    store_lock();
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        char *text = g_strdup_printf("{\"spec\":%s,\"state\":\"queued\",\"at\":5%s}", spec, rows[i].share);
+        cJSON *o = cJSON_Parse(text);
+        store_apply("job/req-000777", o, 100 + (int64_t)i);
+        struct job *j = jobs_find("req-000777");
+        if (jobs_share(j) != rows[i].lies || jobs_any_foreign() != rows[i].foreign) fail_msg("%s", text);
+        assert_int_equal(jobs_active_of(rows[i].lies)->len, 1);
+        assert_int_equal(jobs_active_of(1 - rows[i].lies)->len, 0);
+        cJSON *value = jobs_final_value(j, JOB_CANCELLED);
+        assert_int_equal(cJSON_GetObjectItem(value, "share") != NULL, rows[i].foreign);
+        cJSON_Delete(value);
+        value = jobs_moved_value(j, 0);
+        assert_null(cJSON_GetObjectItem(value, "share")); /* at home, as all versions write it */
+        cJSON_Delete(value);
+        cJSON_Delete(o);
+        g_free(text);
+    }
+    store_unlock();
+    g_free(spec);
+}
+
 int main(void) {
     char err[256];
     if (!settings_parse(SITE_JSON, "f.json", &cfg, err, sizeof err)) return 1;
@@ -171,6 +208,7 @@
     rounds_init(&cfg);
     workers_init(&cfg);
     const struct CMUnitTest tests[] = {cmocka_unit_test(admission), cmocka_unit_test(bits),
-                                       cmocka_unit_test(prerequisites), cmocka_unit_test(records)};
+                                       cmocka_unit_test(prerequisites), cmocka_unit_test(records),
+                                       cmocka_unit_test(shares)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/src/settings/quota_file.c
+++ b/src/settings/quota_file.c
@@ -27,19 +27,24 @@
     }
 }
 
+/* A whole number; 0 where there is none. */
+static int whole_number(const config_setting_t *entry, const char *name) {
+    const config_setting_t *value = config_setting_get_member(entry, name);
+    return value && config_setting_type(value) == CONFIG_TYPE_INT ? config_setting_get_int(value) : 0;
+}
+
 static void read_entry(struct reader *r, const config_setting_t *entry, struct settings *s, bool *named) {
     const char *team = NULL;
-    int shares = 0;
     if (!config_setting_is_group(entry) || config_setting_length(entry) != 2) {
         settings_fail(r, "divide", "an entry is not of the form { team = NAME, shares = NUMBER }");
         return;
     }
+    int shares = whole_number(entry, "shares");
     if (!config_setting_lookup_string(entry, "team", &team)) {
         settings_fail(r, "divide.team", "a name is needed");
     } else if (strcmp(team, EVERY_TEAM) != 0 && settings_team(s, team) < 0) {
         settings_fail(r, "divide.team", "the settings name no such team");
-    } else if (!config_setting_lookup_int(entry, "shares", &shares) || shares < 1 || shares > SHARES_MOST ||
-               shares > s->size) {
+    } else if (shares < 1 || shares > SHARES_MOST || shares > s->size) {
         settings_fail(r, "divide.shares", "not a whole number from 1 to 16, and to the number of shares there are");
     } else {
         divide_teams(s, team, shares, named);
--- a/src/settings/settings_test.c
+++ b/src/settings/settings_test.c
@@ -110,8 +110,48 @@
     assert_int_equal(t.drain_reopen.tv_sec, 90);
 }
 
+/* Which teams are divided: the first entry that names a team holds for it. */
+static void divided_teams(void **state) {
+    (void)state;
+    static const struct {
+        const char *text;
+        int shares[3];     /* red, blue, green */
+        const char *wrong; /* what the error must name, NULL: good */
+    } rows[] = {
+        {"", {1, 1, 1}, NULL},
+        {"gather_s = 5\ndivide = ( { team = \"red\", shares = 2 } )\n", {2, 1, 1}, NULL},
+        {"divide = ( { team = \"red\", shares = 1 }, { team = \"*\", shares = 2 } )\n", {1, 2, 2}, NULL},
+        {"divide = ( { team = \"*\", shares = 2 }, { team = \"red\", shares = 1 } )\n", {2, 2, 2}, NULL},
+        {"divide = ( { team = \"red\", shares = 3 } )\n", {0}, "divide.shares"}, /* there are two */
+        {"divide = ( { team = \"red\", shares = 0 } )\n", {0}, "divide.shares"},
+        {"divide = ( { team = \"red\", shares = 1.5 } )\n", {0}, "divide.shares"},
+        {"divide = ( { team = \"rot\", shares = 2 } )\n", {0}, "divide.team"},
+        {"divide = ( { shares = 2 } )\n", {0}, "divide"},
+        {"divide = ( { team = \"red\", shares = 2, more = 1 } )\n", {0}, "divide"},
+        {"divide = { team = \"red\", shares = 2 }\n", {0}, "divide"},
+        {"gather_s = 0\n", {0}, "gather_s"},
+        {"gather_s = \"long\"\n", {0}, "gather_s"},
+        {"gather = 5\n", {0}, "gather"},
+        {"divide = ( \n", {0}, "line"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(rows); i++) {
+        struct settings s;
+        char err[256] = "";
+        assert_true(settings_parse(SITE_JSON, "f.json", &s, err, sizeof err));
+        bool ok = settings_parse_quota(rows[i].text, "quota.hcl", &s, err, sizeof err);
+        if (ok != (rows[i].wrong == NULL)) fail_msg("%s", rows[i].text);
+        if (rows[i].wrong) {
+            assert_non_null(strstr(err, "quota.hcl"));
+            assert_non_null(strstr(err, rows[i].wrong));
+        }
+        for (int t = 0; ok && t < 3; t++) assert_int_equal(s.teams[t].shares, rows[i].shares[t]);
+        settings_clear(&s);
+    }
+}
+
 int main(void) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(good_settings), cmocka_unit_test(bad_settings),
-                                       cmocka_unit_test(next_limits), cmocka_unit_test(tuning)};
+                                       cmocka_unit_test(next_limits), cmocka_unit_test(tuning),
+                                       cmocka_unit_test(divided_teams)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/standin/cluster.c
+++ b/tests/standin/cluster.c
@@ -156,6 +156,18 @@
     if (controllers[i].pid) kill(controllers[i].pid, SIGCONT);
 }
 
+double cluster_processor_s(int i) {
+    char path[64], *text = NULL;
+    long user = 0, system = 0;
+    g_snprintf(path, sizeof path, "/proc/%d/stat", (int)controllers[i].pid);
+    if (!controllers[i].pid || !g_file_get_contents(path, &text, NULL, NULL)) return 0;
+    /* The 14th and 15th field; the second is a name in brackets. */
+    const char *rest = strrchr(text, ')');
+    if (rest) sscanf(rest + 1, " %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %ld %ld", &user, &system);
+    g_free(text);
+    return (double)(user + system) / (double)sysconf(_SC_CLK_TCK);
+}
+
 void cluster_shut(int i, bool shut) { standin_state_shut(i, shut); }
 
 void cluster_clear(void) {
--- a/tests/standin/cluster.h
+++ b/tests/standin/cluster.h
@@ -26,6 +26,7 @@
 void cluster_end(int i);
 void cluster_stop(int i); /* stands still as a whole until it is continued */
 void cluster_continue(int i);
+double cluster_processor_s(int i);   /* processor time of its process so far */
 void cluster_shut(int i, bool shut); /* the store refuses this controller alone */
 
 bool cluster_names(const char *key, const char *field, int i); /* the record's field names that controller */
--- a/tests/standin/state.c
+++ b/tests/standin/state.c
@@ -432,6 +432,24 @@
     return n;
 }
 
+int standin_state_requests(void) {
+    GHashTableIter it;
+    gpointer n;
+    int sum = 0;
+    pthread_mutex_lock(&lock);
+    g_hash_table_iter_init(&it, calls);
+    while (g_hash_table_iter_next(&it, NULL, &n)) sum += GPOINTER_TO_INT(n);
+    pthread_mutex_unlock(&lock);
+    return sum;
+}
+
+int standin_state_epoch(void) {
+    pthread_mutex_lock(&lock);
+    int now = (int)epoch;
+    pthread_mutex_unlock(&lock);
+    return now;
+}
+
 void standin_state_late(double seconds) {
     pthread_mutex_lock(&lock);
     late_s = seconds;
--- a/tests/standin/state.h
+++ b/tests/standin/state.h
@@ -31,5 +31,7 @@
 size_t standin_state_largest(const char *prefix);       /* bytes of the largest value under such a key */
 char *standin_state_value(const char *key);             /* NULL: not there; g_free */
 int standin_state_calls(const char *path);
+int standin_state_requests(void); /* of all paths */
+int standin_state_epoch(void);
 int standin_state_unguarded(void); /* changes of bookings or pages that don't name the stamp of what they replace */
 #endif
