--- a/src/records/records.c
+++ b/src/records/records.c
@@ -128,67 +128,107 @@
     return cJSON_IsString(x) ? x->valuestring : "";
 }
 
-static void apply_page(const char *rest, const cJSON *data, int64_t stamp) {
-    int k = (int)g_ascii_strtoll(rest, NULL, 10);
-    const char *slash = strchr(rest, '/');
-    if (k < 0 || k >= cfg->size || !slash) return;
-    int page = (int)g_ascii_strtoll(slash + 1, NULL, 10);
-    const cJSON *skus = cJSON_GetObjectItemCaseSensitive(data, "sku"),
-                *sites = cJSON_GetObjectItemCaseSensitive(data, "site"),
-                *images = cJSON_GetObjectItemCaseSensitive(data, "img"), *x;
-    /* A machine that a page no longer names is gone. One that can't be read names nobody: taken for an empty one, or an
-     * entry of it for none, it would release what still runs. */
-    bool whole = !data || cJSON_IsArray(cJSON_GetObjectItemCaseSensitive(data, "m"));
-    if (page < 0 || page >= RECORDS_PAGES) return;
-    stale[k][page] = false;
-    GHashTable *seen = g_hash_table_new(g_direct_hash, g_direct_equal);
+/* An entry of a page: id, address, type, zone, 1 spot + 2 on its way back, fence, born, images. */
+enum entry_field {
+    ENTRY_ID,
+    ENTRY_ADDRESS,
+    ENTRY_SKU,
+    ENTRY_SITE,
+    ENTRY_FLAGS,
+    ENTRY_FENCE,
+    ENTRY_BORN,
+    ENTRY_IMAGE_LIST,
+    ENTRY_FIELDS
+};
+
+/* The lists of names that the entries of a page refer to by index. */
+struct page_names {
+    const cJSON *skus, *sites, *images;
+};
+
+static void read_images(struct machine *m, const cJSON *list, const cJSON *images) {
+    for (const char *p = cJSON_IsString(list) ? list->valuestring : ""; *p;) {
+        const cJSON *image = cJSON_GetArrayItem(images, atoi(p));
+        if (cJSON_IsString(image) && !g_hash_table_contains(m->images, image->valuestring))
+            g_hash_table_add(m->images, g_strdup(image->valuestring));
+        p += strcspn(p, ",");
+        p += *p == ',';
+    }
+}
+
+static void read_entry(struct machine *m, const cJSON *const *f, const struct page_names *names) {
+    const char *address = cJSON_IsString(f[ENTRY_ADDRESS]) ? f[ENTRY_ADDRESS]->valuestring : "";
+    if (*address && !m->address[0]) g_strlcpy(m->address, address, sizeof m->address);
+    m->unwritten = strcmp(m->address, address) != 0;
+    g_strlcpy(m->sku, entry(names->skus, f[ENTRY_SKU]), sizeof m->sku);
+    g_strlcpy(m->site, entry(names->sites, f[ENTRY_SITE]), sizeof m->site);
+    int flags = cJSON_IsNumber(f[ENTRY_FLAGS]) ? f[ENTRY_FLAGS]->valueint : 0;
+    m->spot = flags & 1;
+    m->returning = flags & 2;
+    m->fence = cJSON_IsNumber(f[ENTRY_FENCE]) ? (int64_t)f[ENTRY_FENCE]->valuedouble : 0;
+    m->born = cJSON_IsNumber(f[ENTRY_BORN]) ? f[ENTRY_BORN]->valuedouble : 0;
+    read_images(m, f[ENTRY_IMAGE_LIST], names->images);
+}
+
+/* Takes a page's entries in; false if one can't be read. */
+static bool read_entries(const cJSON *data, int k, int page, int64_t stamp, GHashTable *seen) {
+    const struct page_names names = {cJSON_GetObjectItemCaseSensitive(data, "sku"),
+                                     cJSON_GetObjectItemCaseSensitive(data, "site"),
+                                     cJSON_GetObjectItemCaseSensitive(data, "img")};
+    bool whole = true;
+    const cJSON *x;
     cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(data, "m")) {
-        /* id, address, type, zone, 1 spot + 2 on its way back, fence, born, images */
-        const cJSON *f[8];
+        const cJSON *f[ENTRY_FIELDS];
         const cJSON *e = x->child;
-        for (int i = 0; i < 8; i++, e = e ? e->next : NULL) f[i] = e;
-        if (!cJSON_IsString(f[0]) || strlen(f[0]->valuestring) >= sizeof((struct machine *)0)->id) {
+        for (int i = 0; i < ENTRY_FIELDS; i++, e = e ? e->next : NULL) f[i] = e;
+        if (!cJSON_IsString(f[ENTRY_ID]) || strlen(f[ENTRY_ID]->valuestring) >= sizeof((struct machine *)0)->id) {
             whole = false;
             continue;
         }
         /* Two may record one machine: who rented it, and who heard of it as an unregistered one meanwhile. The later
          * record holds, in whatever order they are read: once a controller that had read them anew took the machine for
          * another's, left it out of its page, and the others released what ran on it. */
-        const struct machine *known = records_find(f[0]->valuestring);
+        const struct machine *known = records_find(f[ENTRY_ID]->valuestring);
         if (known && known->placed > stamp && (known->share != k || known->page != page)) {
             stale[k][page] = true;
             continue;
         }
-        struct machine *m = machine_here(f[0]->valuestring, k, page);
+        struct machine *m = machine_here(f[ENTRY_ID]->valuestring, k, page);
         m->placed = stamp;
         g_hash_table_add(seen, m);
-        const char *address = cJSON_IsString(f[1]) ? f[1]->valuestring : "";
-        if (*address && !m->address[0]) g_strlcpy(m->address, address, sizeof m->address);
-        m->unwritten = strcmp(m->address, address) != 0;
-        g_strlcpy(m->sku, entry(skus, f[2]), sizeof m->sku);
-        g_strlcpy(m->site, entry(sites, f[3]), sizeof m->site);
-        int flags = cJSON_IsNumber(f[4]) ? f[4]->valueint : 0;
-        m->spot = flags & 1;
-        m->returning = flags & 2;
-        m->fence = cJSON_IsNumber(f[5]) ? (int64_t)f[5]->valuedouble : 0;
-        m->born = cJSON_IsNumber(f[6]) ? f[6]->valuedouble : 0;
-        for (const char *p = cJSON_IsString(f[7]) ? f[7]->valuestring : ""; *p;) {
-            const cJSON *img = cJSON_GetArrayItem(images, atoi(p));
-            if (cJSON_IsString(img) && !g_hash_table_contains(m->images, img->valuestring))
-                g_hash_table_add(m->images, g_strdup(img->valuestring));
-            p += strcspn(p, ",");
-            p += *p == ',';
-        }
+        read_entry(m, f, &names);
     }
-    if (!whole) log_error("fleet/%s: can't be read in full, its other machines stay on record", rest);
-    for (guint i = of_share[k]->len; whole && i-- > 0;) {
+    return whole;
+}
+
+/* Machines that the page named before and no longer does are gone, unless they pass to another share. */
+static void drop_unseen(int k, int page, GHashTable *seen) {
+    for (guint i = of_share[k]->len; i-- > 0;) {
         struct machine *m = of_share[k]->pdata[i];
         if (m->page != page || g_hash_table_contains(seen, m)) continue;
         char key[96];
         snprintf(key, sizeof key, "machine/%s", m->id);
-        if (store_stamp(key)) continue; /* it passes to another share: its own record says where */
+        if (store_stamp(key)) continue; /* its own record says where it goes */
         machine_gone(m);
     }
+}
+
+static void apply_page(const char *rest, const cJSON *data, int64_t stamp) {
+    int k = (int)g_ascii_strtoll(rest, NULL, 10);
+    const char *slash = strchr(rest, '/');
+    if (k < 0 || k >= cfg->size || !slash) return;
+    int page = (int)g_ascii_strtoll(slash + 1, NULL, 10);
+    if (page < 0 || page >= RECORDS_PAGES) return;
+    stale[k][page] = false;
+    GHashTable *seen = g_hash_table_new(g_direct_hash, g_direct_equal);
+    /* A machine that a page no longer names is gone. One that can't be read names nobody: taken for an empty one, or an
+     * entry of it for none, it would release what still runs. */
+    bool listed = !data || cJSON_IsArray(cJSON_GetObjectItemCaseSensitive(data, "m"));
+    bool whole = read_entries(data, k, page, stamp, seen) && listed;
+    if (whole)
+        drop_unseen(k, page, seen);
+    else
+        log_error("fleet/%s: can't be read in full, its other machines stay on record", rest);
     g_hash_table_destroy(seen);
 }
 
--- a/src/users/users.c
+++ b/src/users/users.c
@@ -251,66 +251,80 @@
     gather_more(l, batch, most);
 }
 
+/* After a conflict the failed keys were read again, at a revision after the question came. A read that failed leaves
+ * the older record: then it is not known, so not told. */
+static bool not_read_again(const struct store_txn *t, const struct store_answer *answer, const char *key) {
+    for (guint f = 0; answer->failed && f < answer->failed->len; f++) {
+        if (strcmp(answer->failed->pdata[f], key) != 0) continue;
+        const cJSON *x;
+        int64_t was = -1;
+        cJSON_ArrayForEach(x, t->conds) if (!strcmp(base_str(x, "path"), key)) base_int(x, "stamp", &was);
+        return store_stamp(key) == was;
+    }
+    return false;
+}
+
+static void poll_answer(struct user_request *a, enum store_result rc, const struct store_txn *t,
+                        const struct store_answer *answer) {
+    if (rc != STORE_OK && rc != STORE_CONFLICT) {
+        refuse(a->req, 503, "the state service is out of reach", 2);
+        return;
+    }
+    if (base_since(a->came) > POLL_S) {
+        /* We stood still or are far behind: what was confirmed may be old by now. */
+        refuse(a->req, 503, "the answer took too long", 1);
+        return;
+    }
+    char key[96];
+    snprintf(key, sizeof key, "job/%s", a->uid);
+    store_lock();
+    const struct job *j = jobs_find(a->uid);
+    if (not_read_again(t, answer, key))
+        refuse(a->req, 503, "the state service did not answer", 1);
+    else if (j && j->known)
+        answer_known(a, j);
+    else
+        refuse(a->req, 404, "no such job", 0);
+    store_unlock();
+}
+
+static void poll_fill(const GPtrArray *batch, struct store_txn *t) {
+    char key[96];
+    store_lock();
+    for (guint i = 0; i < batch->len; i++) {
+        const struct user_request *a = batch->pdata[i];
+        snprintf(key, sizeof key, "job/%s", a->uid);
+        store_txn_if(t, key, store_stamp(key));
+    }
+    store_unlock();
+}
+
 /* Polls: one compare-only transaction answers for a whole batch. */
 static void *poll_main(void *arg) {
     (void)arg;
     struct http_client *c = http_client_new();
     GPtrArray *batch = g_ptr_array_new();
+    guint most = (guint)cfg->txn_ops * 4;
     for (;;) {
         g_ptr_array_set_size(batch, 0);
-        gather(&queues[1], batch, (guint)cfg->txn_ops * 4);
+        gather(&queues[1], batch, most);
         /* The batch widens where requests are scarce: polls by the hundred, a request each, left none for bookings. */
         if (batch->len < (guint)cfg->txn_ops && store_budget_calls_scarce()) {
             base_sleep(base_span(POLL_GATHER_S));
-            gather_more(&queues[1], batch, (guint)cfg->txn_ops * 4);
+            gather_more(&queues[1], batch, most);
         }
         struct store_txn t;
-        struct store_answer ans;
-        char key[96];
+        struct store_answer answer;
         store_txn_init(&t);
-        store_lock();
-        for (guint i = 0; i < batch->len; i++) {
-            struct user_request *a = batch->pdata[i];
-            snprintf(key, sizeof key, "job/%s", a->uid);
-            store_txn_if(&t, key, store_stamp(key));
-        }
-        store_unlock();
-        enum store_result rc = store_multi(c, STORE_ACCEPT, &t, &ans);
+        poll_fill(batch, &t);
+        enum store_result rc = store_multi(c, STORE_ACCEPT, &t, &answer);
         if (rc == STORE_CONFLICT)
-            for (guint i = 0; i < ans.failed->len; i++) store_refresh(c, ans.failed->pdata[i]);
+            for (guint i = 0; i < answer.failed->len; i++) store_refresh(c, answer.failed->pdata[i]);
         for (guint i = 0; i < batch->len; i++) {
-            struct user_request *a = batch->pdata[i];
-            if (rc != STORE_OK && rc != STORE_CONFLICT) {
-                refuse(a->req, 503, "the state service is out of reach", 2);
-            } else if (base_since(a->came) > POLL_S) {
-                /* We stood still or are far behind: what was confirmed may be old by now. */
-                refuse(a->req, 503, "the answer took too long", 1);
-            } else {
-                /* After a conflict the failed keys were read again, at a revision after the question came. A read
-                 * that failed leaves the older record: then it is not known, so not told. */
-                snprintf(key, sizeof key, "job/%s", a->uid);
-                store_lock();
-                struct job *j = jobs_find(a->uid);
-                bool moved = false;
-                for (guint f = 0; rc == STORE_CONFLICT && f < ans.failed->len; f++)
-                    if (strcmp(ans.failed->pdata[f], key) == 0) {
-                        const cJSON *x;
-                        int64_t was = -1;
-                        cJSON_ArrayForEach(x, t.conds) if (!strcmp(base_str(x, "path"), key))
-                            base_int(x, "stamp", &was);
-                        moved = store_stamp(key) == was;
-                    }
-                if (moved)
-                    refuse(a->req, 503, "the state service did not answer", 1);
-                else if (j && j->known)
-                    answer_known(a, j);
-                else
-                    refuse(a->req, 404, "no such job", 0);
-                store_unlock();
-            }
-            request_free(a);
+            poll_answer(batch->pdata[i], rc, &t, &answer);
+            request_free(batch->pdata[i]);
         }
-        store_answer_clear(&ans);
+        store_answer_clear(&answer);
         store_txn_free(&t);
     }
     return NULL;
@@ -404,57 +418,84 @@
     }
 }
 
+#define ATTEMPTS_MOST 4
+#define ATTEMPTS_S 1.5  /* no new attempt after that */
+#define OVER_RATE_S 0.5 /* for so long a write over the rate is tried again */
+#define OVER_RATE_PAUSE_S 0.08
+
+static bool any_cancels(const GPtrArray *batch) {
+    for (guint i = 0; i < batch->len; i++)
+        if (((const struct user_request *)batch->pdata[i])->kind == REQUEST_CANCEL) return true;
+    return false;
+}
+
+/* Brings the mirror up to what an attempt's answer shows of the keys that it names. */
+static void learn_outcome(struct http_client *c, enum store_result rc, const struct store_txn *t,
+                          const struct store_answer *answer) {
+    if (rc == STORE_OK) {
+        store_lock();
+        store_apply_written(t, answer->epoch);
+        store_unlock();
+        if (t->writes) peers_hint();
+    } else if (rc == STORE_CONFLICT) {
+        for (guint i = 0; i < answer->failed->len; i++) store_refresh(c, answer->failed->pdata[i]);
+    } else if (rc == STORE_UNKNOWN) {
+        /* The answer is lost: the keys tell whether it was applied. What may yet be applied late is a submission that
+         * its user repeats, or a cancel that its user repeats. */
+        const cJSON *x;
+        cJSON_ArrayForEach(x, t->ops) store_refresh(c, base_str(x, "set"));
+    }
+}
+
+/* Over the rate, not out of reach: the next round's writes go in a moment. Sent away, the user would be back a second
+ * later at the earliest. */
+static bool only_over_rate(enum store_result rc, struct timespec began) {
+    if (rc != STORE_REFUSED || base_since(began) >= OVER_RATE_S) return false;
+    store_lock();
+    bool away = store_away();
+    store_unlock();
+    return !away;
+}
+
+/* Writes the batch's submissions and cancels, and leaves in t what was asked last, and in asked when. */
+static enum store_result accept_write(struct http_client *c, GPtrArray *batch, struct store_txn *t,
+                                      struct timespec *asked) {
+    enum store_class cls = any_cancels(batch) ? STORE_CANCEL : STORE_ACCEPT;
+    enum store_result rc = STORE_REFUSED;
+    struct timespec began = *asked = base_now();
+    for (int attempt = 0; attempt < ATTEMPTS_MOST;) {
+        struct store_answer answer;
+        store_txn_free(t);
+        store_txn_init(t);
+        store_lock();
+        accept_fill(batch, t);
+        store_unlock();
+        *asked = base_now();
+        rc = store_multi(c, cls, t, &answer);
+        learn_outcome(c, rc, t, &answer);
+        store_answer_clear(&answer);
+        if (only_over_rate(rc, began)) {
+            base_sleep(base_span(OVER_RATE_PAUSE_S));
+            continue;
+        }
+        if (rc == STORE_OK || rc == STORE_REFUSED || rc == STORE_BAD || base_since(began) > ATTEMPTS_S) break;
+        attempt++;
+    }
+    return rc;
+}
+
 static void *accept_main(void *arg) {
     (void)arg;
     struct http_client *c = http_client_new();
     GPtrArray *batch = g_ptr_array_new();
     for (;;) {
+        struct store_txn t;
+        struct timespec asked;
         g_ptr_array_set_size(batch, 0);
         gather(&queues[0], batch, (guint)cfg->txn_ops);
-        enum store_result rc = STORE_REFUSED;
-        struct store_txn t;
         store_txn_init(&t);
-        bool cancels = false;
-        for (guint i = 0; i < batch->len; i++)
-            cancels |= ((struct user_request *)batch->pdata[i])->kind == REQUEST_CANCEL;
         check_prerequisites(c, batch);
-        struct timespec began = base_now(), asked = began;
-        for (int attempt = 0; attempt < 4; attempt++) {
-            struct store_answer ans;
-            store_txn_free(&t);
-            store_txn_init(&t);
-            store_lock();
-            accept_fill(batch, &t);
-            store_unlock();
-            asked = base_now();
-            rc = store_multi(c, cancels ? STORE_CANCEL : STORE_ACCEPT, &t, &ans);
-            if (rc == STORE_OK) {
-                store_lock();
-                store_apply_written(&t, ans.epoch);
-                store_unlock();
-                if (t.writes) peers_hint();
-            } else if (rc == STORE_CONFLICT) {
-                for (guint i = 0; i < ans.failed->len; i++) store_refresh(c, ans.failed->pdata[i]);
-            } else if (rc == STORE_UNKNOWN) {
-                /* The answer is lost: the keys tell whether it was applied. What may yet be applied late is a
-                 * submission that its user repeats, or a cancel that its user repeats. */
-                const cJSON *x;
-                cJSON_ArrayForEach(x, t.ops) store_refresh(c, base_str(x, "set"));
-            }
-            store_answer_clear(&ans);
-            if (rc == STORE_REFUSED && base_since(began) < 0.5) {
-                /* Over the rate, not out of reach: the next round's writes go in a moment. Sent away, the user would be
-                 * back a second later at the earliest. */
-                store_lock();
-                bool away = store_away();
-                store_unlock();
-                if (away) break;
-                base_sleep(base_span(0.08));
-                attempt--;
-                continue;
-            }
-            if (rc == STORE_OK || rc == STORE_REFUSED || rc == STORE_BAD || base_since(began) > 1.5) break;
-        }
+        enum store_result rc = accept_write(c, batch, &t, &asked);
         accept_answer(batch, rc, &t, asked);
         store_txn_free(&t);
     }
--- a/src/workers/checkin.c
+++ b/src/workers/checkin.c
@@ -56,71 +56,89 @@
     return a;
 }
 
+/* A machine that no record names: the owner of the share that it would be in asks it, and adopts it. */
+static void on_unrecorded(struct http_req *r, const char *id, const char *address) {
+    int k = records_share_of(id);
+    if (!membership_mine(k)) {
+        go_elsewhere(r, membership_share(k)->owner);
+        return;
+    }
+    if (!records_known(id) && address && *address) workers_ask_unregistered(id, address);
+    http_reply(r, 503, NULL, 1);
+}
+
+/* A machine of another's share, or of one that we do not know to be ours yet. */
+static void on_anothers(struct http_req *r, struct machine *m, const cJSON *report) {
+    const struct share *s = membership_share(m->share);
+    int64_t fence = 0;
+    base_int(report, "fence", &fence);
+    if (fence <= records_token(m) && workers_may_proxy(m) && !workers_start_in_doubt(m, report))
+        http_reply_json(r, 200, workers_proxy_answer(m, report), 0);
+    else if (strcmp(s->owner, workers_settings->node) == 0)
+        http_reply(r, 503, NULL, 1);
+    else
+        go_elsewhere(r, s->owner);
+}
+
+static void learn_address(struct machine *m, const char *address) {
+    if (!address || !*address || strcmp(address, m->address) == 0) return;
+    g_strlcpy(m->address, address, sizeof m->address);
+    m->unwritten = true;
+}
+
+static void answer_report(struct http_req *r, struct machine *m, const cJSON *report, int64_t fence) {
+    bool newest = workers_report(m, report, true);
+    if (newest && fence >= records_token(m)) records_row(m);
+    if (m->unknown && !workers_start_on_its_way(m) && records_token(m) <= m->unknown_fence) {
+        /* A command may still be on its way: this machine's lease is renewed under a higher token only. */
+        m->need_raise = true;
+        rounds_kick();
+        http_reply(r, 503, NULL, 1);
+        return;
+    }
+    cJSON *a = cJSON_CreateObject();
+    cJSON_AddNumberToObject(a, "fence", (double)records_token(m));
+    cJSON_AddItemToObject(a, "orders", newest ? workers_orders(m, false) : cJSON_CreateArray());
+    http_reply_json(r, 200, a, 0);
+    m->answered = true;
+}
+
+static void on_ours(struct http_req *r, struct machine *m, const cJSON *report, const char *address) {
+    int64_t fence = 0;
+    base_int(report, "fence", &fence);
+    learn_address(m, address);
+    if (fence > records_token(m))
+        go_elsewhere(r, NULL); /* someone newer commands it */
+    else if (!membership_verified())
+        http_reply(r, 503, NULL, 1);
+    else
+        answer_report(r, m, report, fence);
+}
+
+#define ID_MOST 60
+
 static void on_checkin(struct http_req *r) {
     size_t len;
     const char *body = http_body(r, &len);
-    cJSON *o = cJSON_ParseWithLength(body, len);
-    const char *id = base_str(o, "host"), *address = base_str(o, "address"), *sku = base_str(o, "flavour"),
-               *site = base_str(o, "site");
-    if (!id || !sku || !site || strlen(id) > 60) {
+    cJSON *report = cJSON_ParseWithLength(body, len);
+    const char *id = base_str(report, "host"), *address = base_str(report, "address");
+    if (!id || !base_str(report, "flavour") || !base_str(report, "site") || strlen(id) > ID_MOST) {
         http_reply(r, 400, "{\"error\":\"host, flavour or site is missing\"}", 0);
-        cJSON_Delete(o);
+        cJSON_Delete(report);
         return;
     }
     store_lock();
     struct machine *m = records_find(id);
-    if (!store_ready()) {
+    if (!store_ready())
         http_reply(r, 503, NULL, 1);
-    } else if (!m) {
-        int k = records_share_of(id);
-        const struct share *s = membership_share(k);
-        if (membership_mine(k)) {
-            if (!records_known(id) && address && *address) workers_ask_unregistered(id, address);
-            http_reply(r, 503, NULL, 1);
-        } else {
-            go_elsewhere(r, s->owner);
-        }
-    } else if (!records_mine(m)) {
-        const struct share *s = membership_share(m->share);
-        int64_t fence = 0;
-        base_int(o, "fence", &fence);
-        if (fence <= records_token(m) && workers_may_proxy(m) && !workers_start_in_doubt(m, o))
-            http_reply_json(r, 200, workers_proxy_answer(m, o), 0);
-        else if (strcmp(s->owner, workers_settings->node) == 0)
-            http_reply(r, 503, NULL, 1);
-        else
-            go_elsewhere(r, s->owner);
-    } else {
-        int64_t fence = 0;
-        base_int(o, "fence", &fence);
-        if (address && *address && strcmp(address, m->address) != 0) {
-            g_strlcpy(m->address, address, sizeof m->address);
-            m->unwritten = true;
-        }
-        if (fence > records_token(m)) {
-            /* Someone newer commands it. */
-            go_elsewhere(r, NULL);
-        } else if (!membership_verified()) {
-            http_reply(r, 503, NULL, 1);
-        } else {
-            bool newest = workers_report(m, o, true);
-            if (newest && fence >= records_token(m)) records_row(m);
-            if (m->unknown && !workers_start_on_its_way(m) && records_token(m) <= m->unknown_fence) {
-                /* A command may still be on its way: this machine's lease is renewed under a higher token only. */
-                m->need_raise = true;
-                rounds_kick();
-                http_reply(r, 503, NULL, 1);
-            } else {
-                cJSON *a = cJSON_CreateObject();
-                cJSON_AddNumberToObject(a, "fence", (double)records_token(m));
-                cJSON_AddItemToObject(a, "orders", newest ? workers_orders(m, false) : cJSON_CreateArray());
-                http_reply_json(r, 200, a, 0);
-                m->answered = true;
-            }
-        }
-    }
+    else if (!m)
+        on_unrecorded(r, id, address);
+    else if (!records_mine(m))
+        on_anothers(r, m, report);
+    else
+        on_ours(r, m, report, address);
     store_unlock();
-    cJSON_Delete(o);
+    cJSON_Delete(report);
 }
 
 bool workers_route(struct http_req *r) {
