--- a/src/failures/failures_test.c
+++ b/src/failures/failures_test.c
@@ -156,16 +156,17 @@
         {"for a while", false, 10, false, true},
         {"its jobs fail elsewhere as well", true, 10, true, false},
     };
+    const struct watch_hearing all_heard = {.up = MACHINES, .heard = MACHINES};
     for (size_t r = 0; r < G_N_ELEMENTS(rows); r++) {
         store_lock();
         begin("batch", 5);
         for (int i = 0; i < 2; i++) failures_note(jobs[i], machines[0]);
-        watch_machines(0, MACHINES, MACHINES);
+        watch_machines(0, &all_heard);
         for (int i = 0; rows[r].elsewhere && i < 2; i++) failures_note(jobs[i], machines[1]);
         if (machines[0]->faulty_since.tv_sec) machines[0]->faulty_since.tv_sec -= (time_t)rows[r].s;
         rounds_scratch(0);
         bool open = machines[0]->open;
-        watch_machines(0, MACHINES, MACHINES);
+        watch_machines(0, &all_heard);
         bool back = machines[0]->want_return;
         owned_clear();
         store_unlock();
--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -310,7 +310,7 @@
             give_up_when_deaf(&h, &hearing);
             for (int k = 0; k < round_settings->size; k++)
                 if (membership_mine(k) && membership_verified()) {
-                    watch_machines(k, h.up, h.heard);
+                    watch_machines(k, &h);
                     ledger_run(k, false);
                     ledger_run(k, true);
                 }
--- a/src/rounds/rounds_test.c
+++ b/src/rounds/rounds_test.c
@@ -235,13 +235,13 @@
                 ((struct booking *)all[n]->bookings->pdata[b])->seen = rows[i].seen;
         }
         struct watch_hearing h = watch_hearing();
-        watch_machines(0, h.up, h.heard);
+        watch_machines(0, &h);
         for (int n = 0; n < total; n++) back += all[n]->want_return;
         /* The zone's first machine is heard again: the others get the time to be. */
         bool grace = true;
         if (rows[i].silent == rows[i].here && rows[i].there && rows[i].seen && rows[i].want == 0) {
             all[0]->heard = all[0]->reported = base_now();
-            watch_machines(0, h.up, h.heard);
+            watch_machines(0, &h);
             for (int n = 0; n < total; n++) grace &= !all[n]->want_return;
         }
         for (int n = 0; n < total; n++) all[n]->want_return = false;
--- a/src/stall/stall.c
+++ b/src/stall/stall.c
@@ -18,7 +18,7 @@
         if (stood <= 0) continue;
         log_info("stood still for %.1f s: nobody is taken for silent over that time", stood);
         store_lock();
-        watch_forgive(stood);
+        watch_forgive();
         store_unlock();
     }
     return NULL;
--- a/src/watch/watch.c
+++ b/src/watch/watch.c
@@ -172,13 +172,13 @@
     return base_since(m->faulty_since) > FAULTY_S;
 }
 
-void watch_machines(int k, int up, int heard) {
+void watch_machines(int k, const struct watch_hearing *hearing) {
     for (guint i = 0; i < jobs_active_of(k)->len; i++) ((struct job *)jobs_active_of(k)->pdata[i])->at_risk = 0;
     struct zone_watch zones[SETTINGS_ZONES];
     look_at_zones(k, zones);
     /* If most are silent it is more likely us than them; not so if one zone is silent and another is heard well. */
-    bool hearing = heard * 2 >= up - 1;
-    for (int z = 0; z < cfg->n_zones; z++) hearing |= zones[z].up >= 4 && zones[z].heard * 10 >= zones[z].up * 8;
+    bool hears = hearing->heard * 2 >= hearing->up - 1;
+    for (int z = 0; z < cfg->n_zones; z++) hears |= zones[z].up >= 4 && zones[z].heard * 10 >= zones[z].up * 8;
     for (guint i = 0; i < records_of(k)->len; i++) {
         struct machine *m = records_of(k)->pdata[i];
         if (records_leaving(m)) continue;
@@ -210,7 +210,7 @@
          * the moment in which the first of them answered. */
         if (z >= 0 && base_since(zone_back[k][z]) < silent_limit()) silent = false;
         if (m->up && cut) silent = !wait_for_zone(m, &zones[z]);
-        if (m->up && silent && hearing) {
+        if (m->up && silent && hears) {
             log_info("machine %s: silent for %.0f s, returning it", m->id, base_since(m->heard));
             m->want_return = true;
         }
@@ -251,21 +251,19 @@
     }
 }
 
-/* Moved on by so long, but never into the future. */
-static struct timespec moved_on(struct timespec t, double by_s) {
-    if (!t.tv_sec && !t.tv_nsec) return t;
-    struct timespec now = base_now();
-    return base_since(t) <= by_s ? now : base_wall_in(base_span(by_s - base_since(t)));
+/* What is counted from that time on counts anew; a time that was never set stays so. */
+static void count_anew(struct timespec *since) {
+    if (since->tv_sec || since->tv_nsec) *since = base_now();
 }
 
 /* A controller that came back after a minute once took the silence of all its machines for theirs: the first that were
  * heard again made the others look silent alone. */
-void watch_forgive(double stood_s) {
+void watch_forgive(void) {
     for (guint i = 0; i < records_machines()->len; i++) {
         struct machine *m = records_machines()->pdata[i];
-        m->heard = moved_on(m->heard, stood_s);
-        m->reported = moved_on(m->reported, stood_s);
-        m->mine_since = moved_on(m->mine_since, stood_s); /* a boot that was over meanwhile has not been heard of */
+        count_anew(&m->heard);
+        count_anew(&m->reported);
+        count_anew(&m->mine_since); /* a boot that was over meanwhile has not been heard of */
         m->unanswered = 0;
     }
 }
--- a/src/watch/watch.h
+++ b/src/watch/watch.h
@@ -22,7 +22,8 @@
 double watch_zone_keeps(const char *site);
 /* With store_lock held. Nothing is heard of the share's machines in the zone. */
 bool watch_zone_cut(int k, const char *site);
-/* With store_lock held. This controller stood still for so long: silence over that time does not count. */
-void watch_forgive(double stood_s);
-void watch_machines(int k, int up, int heard);
+/* With store_lock held. This controller stood still: all silence counts anew from now on. */
+void watch_forgive(void);
+/* With store_lock held. Finds the share's machines that are to be returned, given what is heard of all of ours. */
+void watch_machines(int k, const struct watch_hearing *hearing);
 #endif
