--- a/rehearsal/main.c
+++ b/rehearsal/main.c
@@ -71,9 +71,13 @@
 }
 
 static void summarise(const struct play_result *results, int n) {
-    struct series all[] = {{"until the limit is in use (s)", {0}},      {"part of the limit in use", {0}},
-                           {"longest below a guarantee (s)", {0}},      {"changes of the store a 100 starts", {0}},
-                           {"requests to the store a 100 starts", {0}}, {"processor time of the busiest (s)", {0}}};
+    struct series all[] = {{"until the limit is in use (s)", {0}},
+                           {"part of the limit in use", {0}},
+                           {"longest below a guarantee (s)", {0}},
+                           {"changes of the store a 100 starts", {0}},
+                           {"longest without a start, work waiting (s)", {0}},
+                           {"requests to the store a 100 starts", {0}},
+                           {"processor time of the busiest (s)", {0}}};
     for (int i = 0; i < n; i++) {
         const struct play_result *r = &results[i];
         double starts = MAX(r->starts, 1);
@@ -81,8 +85,9 @@
         all[1].values[i] = r->used;
         all[2].values[i] = r->starved_s;
         all[3].values[i] = 100 * r->changes / starts;
-        all[4].values[i] = 100 * r->requests / starts;
-        all[5].values[i] = r->busiest_s;
+        all[4].values[i] = r->pause_s;
+        all[5].values[i] = 100 * r->requests / starts;
+        all[6].values[i] = r->busiest_s;
     }
     printf("\n%d runs on loopback; a histogram of eight equal steps behind each:\n", n);
     for (size_t i = 0; i < G_N_ELEMENTS(all); i++) print_series(&all[i], n);
--- a/rehearsal/play.c
+++ b/rehearsal/play.c
@@ -15,7 +15,6 @@
 #define DIVIDED_WITHIN_S 10.0
 #define JOBS_MOST 4096
 #define ARRAY_TASKS_MOST 4
-#define FLOOD_PAUSE_S 0.02
 
 struct play {
     const struct scenario *s;
@@ -24,6 +23,7 @@
     char uids[JOBS_MOST][16];
     int n_jobs;
     bool accepted;
+    int owner; /* that a step named by its team */
 };
 
 static void tell(const struct play *p, const char *format, ...) G_GNUC_PRINTF(2, 3);
@@ -55,34 +55,85 @@
     return g_string_free(file, FALSE);
 }
 
-/* A job of random size, by the seed. */
-static void submit(struct play *p, int at, int team, const char *shape, int tasks) {
-    char *uid = p->uids[p->n_jobs];
-    g_snprintf(uid, sizeof p->uids[0], "req-1%05d", p->n_jobs++);
+static bool submit_as(const struct play *p, const char *uid, int at, int team, const char *shape, int tasks) {
     const struct cluster_job job = {uid, p->s->teams[team].name, shape, "normal", tasks, 1, 1, NULL};
     double sent = history_now();
     bool accepted = cluster_submit(at, &job) / 100 == 2;
     if (accepted) history_accepted(history_log(), sent, uid, job.team, tasks, job.gpus);
     if (!accepted) tell(p, "%s was not accepted", uid);
-    p->accepted &= accepted;
+    return accepted;
 }
 
-static void work(struct play *p, const struct scenario_step *step) {
-    if (step->action == SCENARIO_GANG) {
-        submit(p, g_rand_int_range(p->random, 0, p->s->controllers), step->team, "group", step->count);
-        return;
+static const char *new_uid(struct play *p) {
+    char *uid = p->uids[p->n_jobs];
+    g_snprintf(uid, sizeof p->uids[0], "req-1%05d", p->n_jobs++);
+    return uid;
+}
+
+static void submit(struct play *p, int at, int team, const char *shape, int tasks) {
+    p->accepted &= submit_as(p, new_uid(p), at, team, shape, tasks);
+}
+
+/* A controller's part of a flood: every so-manieth job. */
+struct flood {
+    struct play *p;
+    int at, team, first, end;
+    bool accepted;
+};
+
+static gpointer flood_main(gpointer data) {
+    struct flood *f = data;
+    f->accepted = true;
+    for (int n = f->first + f->at; n < f->end; n += f->p->s->controllers)
+        f->accepted &= submit_as(f->p, f->p->uids[n], f->at, f->team, "batch", 1);
+    return NULL;
+}
+
+/* One-task jobs at all controllers at once. */
+static void flood(struct play *p, const struct scenario_step *step) {
+    struct flood floods[CLUSTER_MOST];
+    GThread *threads[CLUSTER_MOST];
+    int first = p->n_jobs;
+    for (int n = 0; n < step->count && p->n_jobs < JOBS_MOST; n++) new_uid(p);
+    for (int i = 0; i < p->s->controllers; i++) {
+        floods[i] = (struct flood){p, i, step->team, first, p->n_jobs, false};
+        threads[i] = g_thread_new("flood", flood_main, &floods[i]);
+    }
+    for (int i = 0; i < p->s->controllers; i++) {
+        g_thread_join(threads[i]);
+        p->accepted &= floods[i].accepted;
     }
+}
+
+/* Jobs of random size, by the seed. */
+static void burst(struct play *p, const struct scenario_step *step) {
     for (int n = 0; n < step->count && p->n_jobs < JOBS_MOST; n++) {
-        int at = n % p->s->controllers;
-        bool flood = step->action == SCENARIO_FLOOD, gang = !flood && g_rand_int_range(p->random, 0, 4) == 0;
-        submit(p, at, step->team, gang ? "group" : "batch",
-               flood ? 1 : g_rand_int_range(p->random, 1, ARRAY_TASKS_MOST + 1));
-        if (flood) base_sleep(base_span(FLOOD_PAUSE_S));
+        bool gang = g_rand_int_range(p->random, 0, 4) == 0;
+        submit(p, n % p->s->controllers, step->team, gang ? "group" : "batch",
+               g_rand_int_range(p->random, 1, ARRAY_TASKS_MOST + 1));
     }
 }
 
+static void work(struct play *p, const struct scenario_step *step) {
+    if (step->action == SCENARIO_GANG)
+        submit(p, g_rand_int_range(p->random, 0, p->s->controllers), step->team, "group", step->count);
+    else if (step->action == SCENARIO_FLOOD)
+        flood(p, step);
+    else
+        burst(p, step);
+}
+
+/* Which controller a step is about. */
+static int controller_of(struct play *p, const struct scenario_step *step) {
+    if (step->controller >= 0) return step->controller;
+    int owner = cluster_owner(step->team % p->s->controllers);
+    bool begins = step->action == SCENARIO_END || step->action == SCENARIO_STOP || step->action == SCENARIO_CUT;
+    if (begins && owner >= 0) p->owner = owner;
+    return p->owner;
+}
+
 static void act(struct play *p, const struct scenario_step *step) {
-    int c = step->controller;
+    int c = step->action <= SCENARIO_FLOOD ? -1 : controller_of(p, step);
     if (step->action <= SCENARIO_FLOOD)
         tell(p, "%s of %d, team %s", scenario_action_name(step->action), step->count, p->s->teams[step->team].name);
     else
@@ -181,6 +232,7 @@
     const struct scenario_team *t = &p->s->teams[0];
     out->filled_s = history_reached(history_log(), t->name, first, t->limit);
     out->used = t->limit > 0 ? history_mean(history_log(), t->name, first, last, t->limit) : 0;
+    out->pause_s = history_pause(history_log(), t->name, first, last);
     out->starts = standin_workers_starts();
     out->changes = standin_state_epoch() - before[0];
     out->requests = standin_state_requests() - before[1];
--- a/rehearsal/play.h
+++ b/rehearsal/play.h
@@ -7,6 +7,7 @@
     bool passed;
     double filled_s;  /* from the first submission until the first limited team held its limit; negative: never */
     double used;      /* mean part of its limit in use while it had work */
+    double pause_s;   /* the longest time without a start of that team's while its work waited */
     double starved_s; /* the longest time below a guarantee while there was work for it */
     double busiest_s; /* processor time of the busiest controller */
     int starts, changes, requests; /* tasks started; of the store: changes and requests */
--- a/rehearsal/scenario.c
+++ b/rehearsal/scenario.c
@@ -127,8 +127,8 @@
         if (strcmp(s->teams[i].name, text.team) == 0) step->team = i;
     bool work = action <= SCENARIO_FLOOD;
     if (work && (step->team < 0 || step->count < 1)) fail(r, "team", "work needs a team named before, and a count");
-    if (!work && (step->controller < 0 || step->controller >= s->controllers))
-        fail(r, "controller", "one of the scenario's is needed");
+    if (!work && step->team < 0 && (step->controller < 0 || step->controller >= s->controllers))
+        fail(r, "controller", "one of the scenario's is needed, or a team whose owner is meant");
 }
 
 static const struct field scenario_fields[] = {
--- a/rehearsal/scenario.h
+++ b/rehearsal/scenario.h
@@ -9,9 +9,9 @@
 #define SCENARIO_NAME 32
 
 enum scenario_action {
-    SCENARIO_BURST, /* arrays and gangs of a team at every controller, all at once */
+    SCENARIO_BURST, /* arrays and gangs of a team, at every controller in turn */
     SCENARIO_GANG,  /* one gang */
-    SCENARIO_FLOOD, /* one-task jobs, one after the other */
+    SCENARIO_FLOOD, /* one-task jobs at every controller, all at once */
     SCENARIO_END,   /* of a controller's process */
     SCENARIO_BEGIN,
     SCENARIO_STOP, /* it stands still */
@@ -30,7 +30,7 @@
     double at; /* seconds from the beginning */
     enum scenario_action action;
     int team, count; /* jobs, or tasks of a gang */
-    int controller;
+    int controller;  /* -1: the owner of the team's first share, as it is then or was when a step last named it so */
 };
 
 struct scenario {
--- a/src/quota/changes.c
+++ b/src/quota/changes.c
@@ -11,6 +11,7 @@
  * yet, and must not take from bookings. */
 #define CHANGES_PART 0.15
 #define CHANGES_BURST 3.0
+#define MOVE_EVERY_S 0.2 /* between looks for jobs that wait in another share than they should */
 
 static double changes_left = CHANGES_BURST;
 static struct timespec changes_counted;
@@ -123,7 +124,6 @@
     struct store_answer a;
     enum store_result rc = store_multi(client, STORE_PROGRESS, &c->txn, &a);
     if (rc == STORE_OK) {
-        changes_left -= 1;
         store_lock();
         store_apply_written(&c->txn, a.epoch);
         store_unlock();
@@ -137,24 +137,25 @@
     store_answer_clear(&a);
 }
 
-static bool waits_in_foreign_share(const struct job *j, int share) {
-    if (j->bookings->len > 0 || j->n_touched > 0 || !j->spec_text) return false;
+/* The job has nothing booked, and by its id its team's number of shares puts it into another share now. */
+static bool waits_elsewhere(const struct job *j, int share) {
+    if (j->bookings->len > 0 || j->n_touched > 0 || !j->spec_text || j->spec.team < 0) return false;
     const struct quota_team *t = quota_team_at(j->spec.team);
-    if (j->share < 0 || (t && t->damaged)) return false;
-    return !t || !t->recorded || quota_part_closing(&t->record, t->home, quota_settings->size, share);
+    bool damaged = t && t->damaged;
+    return !damaged && quota_share_of_new(j->spec.team, j->spec.uid) != share;
 }
 
-/* Jobs with nothing booked leave a share that takes no more of their team. Late bookings of theirs fail, since their
- * records have changed. */
-static bool move_jobs(struct change *c, int share) {
+/* Jobs that wait follow the number of their team's shares: they leave one that closes, and part among new ones. Late
+ * bookings of theirs fail, since their records have changed. */
+static bool move_jobs(struct change *c, int share, int most) {
     int moved = 0;
     GPtrArray *jobs = jobs_active_of(share);
     if (!settled(share)) return false;
     memset(c, 0, sizeof *c);
     store_txn_init(&c->txn);
-    for (guint i = 0; i < jobs->len && moved < quota_settings->txn_ops; i++) {
+    for (guint i = 0; i < jobs->len && moved < most; i++) {
         const struct job *j = jobs->pdata[i];
-        if (!waits_in_foreign_share(j, share)) continue;
+        if (!waits_elsewhere(j, share)) continue;
         char key[96];
         snprintf(key, sizeof key, "job/%s", j->spec.uid);
         store_txn_if(&c->txn, key, store_stamp(key));
@@ -170,24 +171,41 @@
     if (c->txn.conds) store_txn_free(&c->txn);
 }
 
-void quota_run(struct http_client *client) {
+static void change_teams(struct http_client *client) {
     struct change c;
-    store_lock();
-    bool in_use = quota_in_use(), foreign = jobs_any_foreign();
-    store_unlock();
-    for (int team = 0; in_use && team < quota_settings->n_teams; team++) {
+    for (int team = 0; team < quota_settings->n_teams; team++) {
         store_lock();
         struct quota_team *t = quota_team_for(team);
         memset(&c, 0, sizeof c);
         bool wanted = t && may_change() && (change_division(&c, t) || change_parts(&c, t));
+        changes_left -= wanted;
         store_unlock();
         run_change(client, &c, wanted);
     }
-    for (int share = 0; foreign && share < quota_settings->size; share++) {
+}
+
+/* What waits in a closing share is not served there: it moves as fast as the store lets it beside bookings. */
+static void move_all_jobs(struct http_client *client) {
+    struct change c;
+    for (int share = 0; share < quota_settings->size; share++) {
+        int most = MIN(store_budget_room(STORE_PROGRESS), quota_settings->txn_ops);
+        if (most < 1) return;
         store_lock();
         memset(&c, 0, sizeof c);
-        bool wanted = may_change() && move_jobs(&c, share);
+        bool wanted = move_jobs(&c, share, most);
         store_unlock();
         run_change(client, &c, wanted);
     }
 }
+
+void quota_run(struct http_client *client) {
+    static struct timespec moved;
+    store_lock();
+    bool in_use = quota_in_use(), foreign = jobs_any_foreign();
+    store_unlock();
+    if (in_use) change_teams(client);
+    if ((in_use || foreign) && base_since(moved) > MOVE_EVERY_S) {
+        moved = base_now();
+        move_all_jobs(client);
+    }
+}
--- a/src/service/service_quota_test.c
+++ b/src/service/service_quota_test.c
@@ -327,15 +327,17 @@
 
 /* The division is halted half-way: two of three controllers have the file, for long. */
 static void halted(void) {
-    struct burst red[CONTROLLERS];
+    struct burst red[CONTROLLERS], waiting[CONTROLLERS];
     burst_everywhere(red, "red", 0);
     burst_ends(red);
-    assert_false(divided("red")); /* not in force before the last has it */
+    assert_false(divided("red"));        /* not in force before the last has it */
+    burst_everywhere(waiting, "red", 2); /* most of it waits while the division comes into force */
     cluster_end(2);
     assert_true(cluster_quota(2, DIVIDED));
     cluster_begin(2);
     assert_true(becomes_divided(true, 20));
     burst_everywhere(red, "red", 1);
+    burst_ends(waiting);
     burst_ends(red);
 }
 
--- a/tests/standin/history.c
+++ b/tests/standin/history.c
@@ -227,6 +227,20 @@
     return reached;
 }
 
+double history_pause(const struct history *h, const char *team, double from, double to) {
+    struct walk w;
+    double worst = 0, since = from;
+    walk_begin(&w, h, team);
+    while (walk_step(&w) && w.at <= to) {
+        bool waits = g_hash_table_size(w.waiting) > 0;
+        if (w.at < from) continue;
+        if (w.came) worst = MAX(worst, w.at - since);
+        if (w.came || !waits) since = w.at;
+    }
+    walk_end(&w);
+    return worst;
+}
+
 double history_mean(const struct history *h, const char *team, double from, double to, double limit) {
     struct walk w;
     double sum = 0, last = from, gpus = 0;
--- a/tests/standin/history.h
+++ b/tests/standin/history.h
@@ -29,6 +29,8 @@
 int history_twice(const struct history *h);
 /* How long from one time on until the team held so much; negative: never. */
 double history_reached(const struct history *h, const char *team, double from, double gpus);
+/* The longest time in a span without a task of the team that came, while one waited. */
+double history_pause(const struct history *h, const char *team, double from, double to);
 /* The mean part of the limit in use over a span. */
 double history_mean(const struct history *h, const char *team, double from, double to, double limit);
 
--- a/tests/standin/history_test.c
+++ b/tests/standin/history_test.c
@@ -111,6 +111,12 @@
     assert_true(history_reached(h, "red", 0, 2) == 2);
     assert_true(history_reached(h, "red", 3, 2) == 3);
     assert_true(history_reached(h, "red", 0, 3) < 0);
+    history_accepted(h, 6, "b", "red", 1, 1);
+    history_task(h, 9, "b/0", true);
+    history_accepted(h, 20, "c", "red", 1, 1); /* nothing waited before */
+    history_task(h, 21, "c/0", true);
+    assert_true(history_pause(h, "red", 0, 30) == 4);
+    assert_true(history_pause(h, "red", 5.5, 30) == 3);
     assert_true(history_mean(h, "red", 2, 6, 2) == 0.875);
     history_free(h);
 }
