--- a/tests/standin/history.c
+++ b/tests/standin/history.c
@@ -230,12 +230,12 @@
 double history_pause(const struct history *h, const char *team, double from, double to) {
     struct walk w;
     double worst = 0, since = from;
+    bool waited = false; /* before the event */
     walk_begin(&w, h, team);
     while (walk_step(&w) && w.at <= to) {
-        bool waits = g_hash_table_size(w.waiting) > 0;
-        if (w.at < from) continue;
-        if (w.came) worst = MAX(worst, w.at - since);
-        if (w.came || !waits) since = w.at;
+        if (w.at >= from && w.came) worst = MAX(worst, w.at - since);
+        if (w.at >= from && (w.came || !waited)) since = w.at;
+        waited = g_hash_table_size(w.waiting) > 0;
     }
     walk_end(&w);
     return worst;
