--- a/src/cloud/cloud.c
+++ b/src/cloud/cloud.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "../membership/membership.h"
+#include "../quota/quota.h"
 #include "../records/records.h"
 #include "../renting/renting.h"
 #include "../rounds/rounds.h"
@@ -83,8 +84,9 @@
 
 /* The part of the calls that goes with the shares owned: one that owns none has little to ask. */
 static double call_rate(void) {
-    int mine = 0, all = MIN(cfg->size, cfg->n_teams);
+    int mine = 0;
     store_lock();
+    int all = quota_any_divided() ? cfg->size : MIN(cfg->size, cfg->n_teams);
     for (int k = 0; k < all; k++) mine += membership_mine(k);
     double least = 0.2 / membership_live();
     store_unlock();
--- a/src/format/format.c
+++ b/src/format/format.c
@@ -7,6 +7,7 @@
 static int own_version;                  /* on record; 0: none */
 static int peer_version[SETTINGS_SEEDS]; /* likewise, in the order of the seeds */
 static bool active;
+static int latest[SETTINGS_SEEDS + 1]; /* versions on record now: ours, then the seeds'; 0: none */
 
 /* A controller is only ever upgraded: a lower version, or none, in a later record is a damaged record. */
 static void raise_version(int *known, const cJSON *data) {
@@ -21,11 +22,33 @@
     return true;
 }
 
+static void note_latest(const char *node, const cJSON *data) {
+    int64_t version = 0;
+    base_int(data, "version", &version);
+    if (strcmp(node, cfg->node) == 0) latest[0] = (int)version;
+    for (int i = 0; i < cfg->n_seeds; i++)
+        if (strcmp(node, cfg->seeds[i].node) == 0) latest[i + 1] = (int)version;
+}
+
+bool format_divided(void) {
+    for (int i = 0; i <= cfg->n_seeds; i++)
+        if (latest[i] < FORMAT_DIVIDED) return false;
+    return true;
+}
+
+/* The version that our own record is to name. */
+static int wanted_version(void) {
+    for (int i = 0; i < cfg->n_teams; i++)
+        if (cfg->teams[i].shares > 1) return FORMAT_DIVIDED;
+    return FORMAT_VERSION;
+}
+
 static void apply_format(const char *node, const cJSON *data, int64_t stamp) {
     (void)stamp;
     if (strcmp(node, cfg->node) == 0) raise_version(&own_version, data);
     for (int i = 0; i < cfg->n_seeds; i++)
         if (strcmp(node, cfg->seeds[i].node) == 0) raise_version(&peer_version[i], data);
+    note_latest(node, data);
     if (active || !all_upgraded()) return;
     active = true;
     log_info("format: all %d controllers read version %d, its layout is written from now on", cfg->n_seeds + 1,
@@ -36,13 +59,16 @@
 
 bool format_announce(struct store_txn *t) {
     char key[96];
-    if (own_version >= FORMAT_VERSION) return false;
+    int version = wanted_version();
+    bool withdraws = latest[0] == FORMAT_DIVIDED && version < FORMAT_DIVIDED;
+    if (own_version >= FORMAT_VERSION && latest[0] >= version && !withdraws) return false;
+    if (own_version >= FORMAT_VERSION && latest[0] < FORMAT_VERSION) return false; /* a damaged record */
     snprintf(key, sizeof key, "format/%s", cfg->node);
     cJSON *record = cJSON_CreateObject();
-    cJSON_AddNumberToObject(record, "version", FORMAT_VERSION);
+    cJSON_AddNumberToObject(record, "version", version);
     store_txn_if(t, key, store_stamp(key));
     store_txn_set(t, key, record, 0);
-    log_info("format: recording that %s reads version %d", cfg->node, FORMAT_VERSION);
+    log_info("format: recording that %s reads version %d", cfg->node, version);
     return true;
 }
 
--- a/src/format/format.h
+++ b/src/format/format.h
@@ -10,6 +10,9 @@
 
 /* Version 1 has no record. Version 2 adds records of bookings that name their own stretch of tasks. */
 #define FORMAT_VERSION 2
+/* Version 3 can read records of divided teams. A controller records it only while its settings divide a team, so that
+ * an earlier version may come back once no team is divided any more. */
+#define FORMAT_DIVIDED 3
 
 void format_init(const struct settings *s);
 
@@ -17,6 +20,8 @@
 
 /* Whether every controller of the settings has recorded this version: its layout may be written from now on. */
 bool format_active(void);
+/* Whether every controller's latest record says that it reads, and its settings ask for, divided teams. */
+bool format_divided(void);
 /* Adds the record of our own version to the transaction; false if it is on record already. */
 bool format_announce(struct store_txn *t);
 #endif
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -37,14 +37,18 @@
     return g_hash_table_lookup(all, uid);
 }
 GPtrArray *jobs_active(void) { return active; }
-int jobs_share(const struct job *j) { return j->spec.team < 0 ? 0 : j->spec.team % cfg->size; }
+static int home_of(const struct job *j) { return j->spec.team < 0 ? 0 : j->spec.team % cfg->size; }
+int jobs_share(const struct job *j) { return j->share >= 0 ? j->share : home_of(j); }
+
+static int foreign; /* unfinished jobs in other shares than their teams' homes */
+bool jobs_any_foreign(void) { return foreign > 0; }
 
 struct job *jobs_find_or_stub(const char *uid) {
     struct job *j = jobs_find(uid);
     if (j) return j;
     j = g_new0(struct job, 1);
     g_strlcpy(j->spec.uid, uid, sizeof j->spec.uid);
-    j->spec.team = -1;
+    j->spec.team = j->share = -1;
     j->rank = RANK_IDLE;
     j->deadline = INFINITY;
     j->bookings = g_ptr_array_new();
@@ -79,6 +83,7 @@
             g_ptr_array_remove(active, j);
             g_ptr_array_remove(active_of[k], j);
         }
+        foreign += j->share < 0 ? 0 : is_active ? 1 : -1;
         j->listed_active = is_active;
     }
     if (is_ended != j->listed_ended) {
@@ -142,6 +147,7 @@
  * early. It finds no spec in such a record and leaves the job alone. */
 #define SPEC "spec"
 #define CHAINED_SPEC "chained_spec"
+#define SHARE "share"
 
 static const char *const state_names[] = {"queued", "done", "cancelled"};
 
@@ -172,6 +178,25 @@
     return true;
 }
 
+/* The share that a record names: only one of a divided team's job does. */
+static int share_of(const cJSON *data) {
+    int64_t share = -1;
+    return base_int(data, SHARE, &share) && share >= 0 && share < cfg->size ? (int)share : -1;
+}
+
+/* Takes the job out of the lists of one share and into those of another. */
+static void enter_share(struct job *j, int share) {
+    if (share == j->share) return;
+    if (j->listed_active) {
+        g_ptr_array_remove(active_of[jobs_share(j)], j);
+        foreign += (share >= 0) - (j->share >= 0);
+    }
+    if (j->listed_ended) g_ptr_array_remove_fast(ended_of[jobs_share(j)], j);
+    j->share = share;
+    if (j->listed_active) insert_sorted(active_of[jobs_share(j)], j);
+    if (j->listed_ended) g_ptr_array_add(ended_of[jobs_share(j)], j);
+}
+
 /* A final state is all that is asked for from now on. */
 static void enter_final_state(struct job *j, enum job_state state) {
     j->state = state;
@@ -197,6 +222,7 @@
     struct job *j = jobs_find_or_stub(uid);
     bool first = !j->known;
     if (first && !read_spec(j, data)) return;
+    enter_share(j, share_of(data));
     enum job_state state = state_of(data);
     bool ends = j->state == JOB_QUEUED && state != JOB_QUEUED;
     if (ends) {
@@ -225,21 +251,29 @@
     return j->state == JOB_QUEUED && j->known && j->spec.shape != JOB_STANDING && j->n_pend == j->spec.tasks;
 }
 
-static cJSON *value_of(cJSON *spec, enum job_state state, double at) {
+static cJSON *value_of(cJSON *spec, enum job_state state, double at, int share) {
     cJSON *o = cJSON_CreateObject();
     bool chained = cJSON_GetArraySize(cJSON_GetObjectItemCaseSensitive(spec, "prereqs")) > 0;
     cJSON_AddItemToObject(o, chained ? CHAINED_SPEC : SPEC, spec);
     cJSON_AddStringToObject(o, "state", state_names[state]);
     cJSON_AddNumberToObject(o, "at", at);
+    const char *owner = base_str(spec, "owner");
+    int team = owner ? settings_team(cfg, owner) : -1;
+    /* Of an undivided team's job it is left out, so that its record is the one that all versions know. */
+    if (team >= 0 && share >= 0 && share != team % cfg->size) cJSON_AddNumberToObject(o, SHARE, share);
     return o;
 }
 
-cJSON *jobs_value(const char *spec_text, enum job_state state, double at) {
+cJSON *jobs_value(const char *spec_text, enum job_state state, double at, int share) {
     /* Parsed, not raw: the same value is applied to our own records once it is written. */
-    return value_of(cJSON_Parse(spec_text), state, at);
+    return value_of(cJSON_Parse(spec_text), state, at, share);
+}
+
+cJSON *jobs_moved_value(const struct job *j, int share) {
+    return jobs_value(j->spec_text, j->state, j->submitted, share);
 }
 
-/* All else in a record: names, state and two times. */
+/* All else in a record: names, state, two times and a share. */
 #define RECORD_BYTES 100
 
 size_t jobs_record_most(void) { return (size_t)(cfg->next_value_kb * 1024); }
@@ -262,7 +296,7 @@
     cJSON *spec = cJSON_Parse(j->spec_text);
     /* Accepted by the first version under the present limit, it may be too large to be rewritten under the next. */
     if (jobs_record_bytes(j->spec_text) > jobs_record_most()) keep_needed_fields(spec);
-    cJSON *o = value_of(spec, state, j->submitted);
+    cJSON *o = value_of(spec, state, j->submitted, j->share);
     /* From when on the times of jobs that need it count, for whoever owns them by then. */
     if (state == JOB_DONE) cJSON_AddNumberToObject(o, "end", base_time_of_day());
     return o;
--- a/src/membership/membership.c
+++ b/src/membership/membership.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "../format/format.h"
+#include "../quota/quota.h"
 #include "../records/records.h"
 #include "../watch/watch.h"
 
@@ -220,7 +221,7 @@
             give(t, k, me);
             return true;
         }
-    if (format_announce(t)) return true;
+    if (quota_announce(t) || format_announce(t)) return true;
     if (me->workers_lost != my_workers_lost) {
         char key[96];
         snprintf(key, sizeof key, "node/%s", cfg->node);
--- a/src/preempt/preempt.c
+++ b/src/preempt/preempt.c
@@ -3,13 +3,13 @@
 #include <string.h>
 
 #include "../placement/placement.h"
+#include "../quota/quota.h"
 
 static const struct settings *cfg;
 
-bool preempt_quota_left(const struct preempt_usage *u, const struct job_spec *s, int tasks) {
-    const struct settings_team *t = &cfg->teams[s->team];
-    return (t->cpus_max <= 0 || u->cpu + tasks * s->vcpus <= t->cpus_max + 1e-6) &&
-           (t->gpus_max <= 0 || u->gpu + tasks * s->gpus <= t->gpus_max + 1e-6);
+bool preempt_quota_left(const struct preempt_usage *u, const struct job *j, int tasks) {
+    const struct quota_bound most = quota_bound(j->spec.team, jobs_share(j));
+    return u->cpu + tasks * j->spec.vcpus <= most.vcpus + 1e-6 && u->gpu + tasks * j->spec.gpus <= most.gpus + 1e-6;
 }
 
 static double held_gpus[SETTINGS_TEAMS], held_cpus[SETTINGS_TEAMS];
@@ -40,7 +40,7 @@
     if (x->over || x->stop || x->job->spec.shape != JOB_BATCH) return false;
     if (x->job->rank < j->rank) return true;
     return within && x->job->spec.team != j->spec.team && preempt_beyond(j->spec.team) + j->spec.gpus <= 1e-6 &&
-           preempt_beyond(x->job->spec.team) >= MAX(x->job->spec.gpus, 1e-3);
+           preempt_beyond(x->job->spec.team) >= MAX(x->job->spec.gpus, 1e-3) && quota_may_be_stopped(x);
 }
 
 /* A task stopped soon after its start counts as never started to its user. */
@@ -56,7 +56,7 @@
     struct machine *best = NULL;
     double best_cost = 0;
     const struct flavour_info *f;
-    if (!preempt_quota_left(&u[j->spec.team], &j->spec, 1)) return false;
+    if (!preempt_quota_left(&u[j->spec.team], j, 1)) return false;
     for (guint i = 0; i < mine->len; i++) {
         struct machine *m = mine->pdata[i];
         const char *together = placement_site(j);
@@ -89,6 +89,7 @@
         struct booking *x = best->bookings->pdata[n % best->bookings->len];
         if (placement_fits(best, &j->spec)) break;
         if (!preempt_evictable(x, j, within) || (n >= best->bookings->len && preempt_fresh_start(x))) continue;
+        quota_stopped(x);
         x->stop = true;
         x->grace_s = x->job->spec.checkpoint_s > 0 && x->job->spec.flush_s + 1 < quick ? x->job->spec.flush_s + 1 : 0;
         placement_take(best, &x->job->spec, -1);
--- a/src/preempt/preempt.h
+++ b/src/preempt/preempt.h
@@ -8,7 +8,8 @@
 struct preempt_usage { /* what a team's tasks take */
     double cpu, gpu;
 };
-bool preempt_quota_left(const struct preempt_usage *u, const struct job_spec *s, int tasks);
+/* Whether the team's limit, or its share's part of it, leaves room for so many more tasks of the job. */
+bool preempt_quota_left(const struct preempt_usage *u, const struct job *j, int tasks);
 void preempt_refresh(void);      /* before a round's questions */
 double preempt_beyond(int team); /* what a team holds beyond its guarantee */
 bool preempt_evictable(const struct booking *x, const struct job *j, bool within);
--- /dev/null
+++ b/src/quota/changes.c
@@ -0,0 +1,192 @@
+/* The changes that an owner writes of divided teams: their records, and the shares of waiting jobs. */
+#include <stdio.h>
+#include <string.h>
+
+#include "../format/format.h"
+#include "../jobs/jobs.h"
+#include "../membership/membership.h"
+#include "demand.h"
+
+/* All controllers' changes of parts together stay below this part of the store's rate: they only move what is not used
+ * yet, and must not take from bookings. */
+#define CHANGES_PART 0.15
+#define CHANGES_BURST 3.0
+
+static double changes_left = CHANGES_BURST;
+static struct timespec changes_counted;
+
+static bool may_change(void) {
+    struct timespec now = base_now();
+    double rate = quota_settings->state_write_rps * CHANGES_PART / membership_live();
+    changes_left = MIN(changes_left + (base_secs(now) - base_secs(changes_counted)) * rate, CHANGES_BURST);
+    changes_counted = now;
+    return changes_left >= 1;
+}
+
+/* The share is ours, and all that we wrote of it is in the mirror: what it uses is known. */
+static bool settled(int share) {
+    const struct records_share *s = &records_shares[share];
+    return membership_mine(share) && !s->barrier && s->fence == membership_share(share)->fence &&
+           s->conflict_epoch <= store_epoch();
+}
+
+/* A change of one team's record on its way. */
+struct change {
+    struct store_txn txn;
+    char key[128];
+    int shares[QUOTA_SHARES_MOST]; /* those that it is conditional on */
+    int n_shares;
+};
+
+static void require_share(struct change *c, int share) {
+    char key[32];
+    snprintf(key, sizeof key, "share/%d", share);
+    store_txn_if(&c->txn, key, membership_share(share)->stamp);
+    for (int i = 0; i < c->n_shares; i++)
+        if (c->shares[i] == share) return;
+    c->shares[c->n_shares++] = share;
+}
+
+static void begin_change(struct change *c, const struct quota_team *t) {
+    memset(c, 0, sizeof *c);
+    store_txn_init(&c->txn);
+    snprintf(c->key, sizeof c->key, "quota/%s", quota_settings->teams[t->team].name);
+    store_txn_if(&c->txn, c->key, store_stamp(c->key));
+}
+
+/* Nothing is left in shares beside the home. */
+static bool undivided_again(const struct quota_team *t) {
+    if (t->record.shares > 1 || t->record.n_parts > 1) return false;
+    for (int k = 0; k < quota_settings->size; k++) {
+        GPtrArray *lists[] = {jobs_active_of(k), jobs_ended_of(k)};
+        for (size_t l = 0; k != t->home && l < G_N_ELEMENTS(lists); l++)
+            for (guint i = 0; i < lists[l]->len; i++)
+                if (((const struct job *)lists[l]->pdata[i])->spec.team == t->team) return false;
+    }
+    return true;
+}
+
+/* The duties of the home's owner: it divides the team, follows the settings, and takes the division back. */
+static bool change_division(struct change *c, const struct quota_team *t) {
+    struct quota_view agreed;
+    bool known = quota_view_agreed(t->team, &agreed);
+    struct quota_record next = t->record;
+    if (t->damaged || !settled(t->home)) return false;
+    if (!t->recorded) {
+        if (!known || agreed.shares <= 1 || !format_divided()) return false;
+        next = quota_record_create(t->home, quota_settings->size, agreed.shares, agreed.limit, agreed.guarantee);
+    } else if (undivided_again(t)) {
+        begin_change(c, t);
+        require_share(c, t->home);
+        store_txn_remove(&c->txn, c->key);
+        return true;
+    } else {
+        /* Lowered as soon as one controller's settings name less, raised once all name more. */
+        struct quota_amount limit = known ? agreed.limit : quota_view_least_limit(t->team);
+        if (!known)
+            for (int d = 0; d < QUOTA_DIMENSIONS; d++)
+                if (t->record.limit.of[d] > 0 && (limit.of[d] == 0 || limit.of[d] > t->record.limit.of[d]))
+                    limit.of[d] = t->record.limit.of[d];
+        struct quota_amount guarantee = known ? agreed.guarantee : t->record.guarantee;
+        int shares = known && agreed.shares > 0 ? agreed.shares : t->record.shares;
+        bool same = quota_amount_equal(limit, t->record.limit) && shares == t->record.shares &&
+                    quota_amount_equal(guarantee, t->record.guarantee);
+        if (!same)
+            quota_record_change(&next, t->home, quota_settings->size, shares, limit, guarantee);
+        else if (!quota_record_prune(&next, t->home, quota_settings->size))
+            return false;
+    }
+    begin_change(c, t);
+    require_share(c, t->home);
+    store_txn_set(&c->txn, c->key, quota_record_value(&next), 0);
+    return true;
+}
+
+/* Parts of our own shares, towards what is due to each. */
+static bool change_parts(struct change *c, struct quota_team *t) {
+    bool owned[QUOTA_SHARES_MOST], any = false;
+    if (!t->recorded) return false;
+    for (int i = 0; i < t->record.n_parts; i++) any |= owned[i] = settled(t->record.parts[i].share);
+    if (!any) return false;
+    quota_look(t);
+    struct quota_record next = t->record;
+    if (!quota_rebalance(&next, t->home, quota_settings->size, t->used, &t->targets, owned)) return false;
+    begin_change(c, t);
+    for (int i = 0; i < next.n_parts; i++)
+        if (!quota_amount_equal(next.parts[i].limit, t->record.parts[i].limit)) require_share(c, next.parts[i].share);
+    store_txn_set(&c->txn, c->key, quota_record_value(&next), 0);
+    return true;
+}
+
+static void send_change(struct http_client *client, struct change *c) {
+    struct store_answer a;
+    enum store_result rc = store_multi(client, STORE_PROGRESS, &c->txn, &a);
+    if (rc == STORE_OK) {
+        changes_left -= 1;
+        store_lock();
+        store_apply_written(&c->txn, a.epoch);
+        store_unlock();
+    } else if (rc == STORE_CONFLICT) {
+        store_refresh(client, c->key);
+        store_nudge();
+    } else if (rc == STORE_UNKNOWN) {
+        /* It may yet be carried out: nothing is booked in these shares before their stamps have moved. */
+        for (int i = 0; i < c->n_shares; i++) records_shares[c->shares[i]].barrier = true;
+    }
+    store_answer_clear(&a);
+}
+
+static bool waits_in_foreign_share(const struct job *j, int share) {
+    if (j->bookings->len > 0 || j->n_touched > 0 || !j->spec_text) return false;
+    const struct quota_team *t = quota_team_at(j->spec.team);
+    if (j->share < 0 || (t && t->damaged)) return false;
+    return !t || !t->recorded || quota_part_closing(&t->record, t->home, quota_settings->size, share);
+}
+
+/* Jobs with nothing booked leave a share that takes no more of their team. Late bookings of theirs fail, since their
+ * records have changed. */
+static bool move_jobs(struct change *c, int share) {
+    int moved = 0;
+    GPtrArray *jobs = jobs_active_of(share);
+    if (!settled(share)) return false;
+    memset(c, 0, sizeof *c);
+    store_txn_init(&c->txn);
+    for (guint i = 0; i < jobs->len && moved < quota_settings->txn_ops; i++) {
+        const struct job *j = jobs->pdata[i];
+        if (!waits_in_foreign_share(j, share)) continue;
+        char key[96];
+        snprintf(key, sizeof key, "job/%s", j->spec.uid);
+        store_txn_if(&c->txn, key, store_stamp(key));
+        store_txn_set(&c->txn, key, jobs_moved_value(j, quota_share_of_new(j->spec.team, j->spec.uid)), 0);
+        moved++;
+    }
+    if (moved > 0) require_share(c, share);
+    return moved > 0;
+}
+
+static void run_change(struct http_client *client, struct change *c, bool wanted) {
+    if (wanted) send_change(client, c);
+    if (c->txn.conds) store_txn_free(&c->txn);
+}
+
+void quota_run(struct http_client *client) {
+    struct change c;
+    store_lock();
+    bool in_use = quota_in_use(), foreign = jobs_any_foreign();
+    store_unlock();
+    for (int team = 0; in_use && team < quota_settings->n_teams; team++) {
+        store_lock();
+        struct quota_team *t = quota_team_for(team);
+        memset(&c, 0, sizeof c);
+        bool wanted = t && may_change() && (change_division(&c, t) || change_parts(&c, t));
+        store_unlock();
+        run_change(client, &c, wanted);
+    }
+    for (int share = 0; foreign && share < quota_settings->size; share++) {
+        store_lock();
+        memset(&c, 0, sizeof c);
+        bool wanted = may_change() && move_jobs(&c, share);
+        store_unlock();
+        run_change(client, &c, wanted);
+    }
+}
--- /dev/null
+++ b/src/quota/demand.c
@@ -0,0 +1,117 @@
+#include "demand.h"
+
+#include <string.h>
+
+#include "../bookings/bookings.h"
+#include "../failures/failures.h"
+#include "../rounds/rounds.h"
+
+#define DEMANDS_MOST 512 /* jobs that wait, in order; what comes after them gets its turn when these have begun */
+
+static int part_at(const struct quota_record *r, int share) {
+    for (int i = 0; i < r->n_parts; i++)
+        if (r->parts[i].share == share) return i;
+    return -1;
+}
+
+static struct quota_amount stopping_of(const struct job *j) {
+    int n = 0;
+    for (guint i = 0; i < j->bookings->len; i++) {
+        const struct booking *b = j->bookings->pdata[i];
+        n += b->stop && !b->over;
+    }
+    return quota_amount_used(&j->spec, n);
+}
+
+/* What has not been proven gone counts: tasks of cancelled jobs and on lost machines, too. */
+static void count_used(struct quota_team *t, struct quota_amount *lasting) {
+    memset(t->used, 0, sizeof t->used);
+    memset(t->stopping, 0, sizeof t->stopping);
+    *lasting = (struct quota_amount){{0}};
+    for (int i = 0; i < t->record.n_parts; i++) {
+        int share = t->record.parts[i].share;
+        GPtrArray *lists[] = {jobs_active_of(share), jobs_ended_of(share)};
+        for (size_t l = 0; l < G_N_ELEMENTS(lists); l++)
+            for (guint n = 0; n < lists[l]->len; n++) {
+                const struct job *j = lists[l]->pdata[n];
+                if (j->spec.team != t->team) continue;
+                struct quota_amount uses = quota_amount_used(&j->spec, bookings_count(j));
+                t->used[i] = quota_amount_sum(t->used[i], uses);
+                t->stopping[i] = quota_amount_sum(t->stopping[i], stopping_of(j));
+                if (j->spec.shape == JOB_STANDING && j->state == JOB_QUEUED)
+                    *lasting = quota_amount_sum(*lasting, uses);
+            }
+    }
+}
+
+/* Jobs for which room was held back in vain, until when none is again. */
+struct given_up {
+    char uid[64];
+    struct timespec until;
+};
+#define GIVEN_UP_MOST 64
+static struct given_up given_up[GIVEN_UP_MOST];
+static unsigned n_given_up;
+
+static bool gave_up_lately(const char *uid) {
+    for (unsigned i = 0; i < MIN(n_given_up, GIVEN_UP_MOST); i++)
+        if (strcmp(given_up[i].uid, uid) == 0 && base_since(given_up[i].until) < 0) return true;
+    return false;
+}
+
+#define PAUSE_TIMES 2 /* as long as room was held back, so many times it is not after that */
+
+/* Room is held back for one job at a time and not for long: a job that gathers in vain must not idle its team. */
+static void keep_gatherer(struct quota_team *t, const struct job *j) {
+    double most = base_secs(quota_settings->quota.gather);
+    if (!j) {
+        t->gatherer[0] = 0;
+        return;
+    }
+    int booked = bookings_count(j);
+    if (strcmp(t->gatherer, j->spec.uid) != 0 || t->gatherer_booked != booked) {
+        g_strlcpy(t->gatherer, j->spec.uid, sizeof t->gatherer);
+        t->gathering_since = base_now();
+        t->gatherer_booked = booked;
+        return;
+    }
+    if (base_since(t->gathering_since) < most) return;
+    struct given_up *g = &given_up[n_given_up++ % GIVEN_UP_MOST];
+    g_strlcpy(g->uid, j->spec.uid, sizeof g->uid);
+    g->until = base_wall_in(base_span(PAUSE_TIMES * most));
+    t->gatherer[0] = 0;
+    log_info("quota: team %s: not enough gets free for %s, it steps back", quota_settings->teams[t->team].name,
+             j->spec.uid);
+}
+
+/* How many more tasks of the job may start now. */
+static int tasks_waiting(const struct job *j) {
+    if (base_since(j->retry_at) < 0) return 0;
+    if (j->spec.shape == JOB_GROUP && bookings_count(j) > 0) return rounds_gang_open(j) ? rounds_missing(j) : 0;
+    return failures_suspect(j) && j->spec.shape != JOB_GROUP ? MIN(rounds_missing(j), 1) : rounds_missing(j);
+}
+
+void quota_look(struct quota_team *t) {
+    struct quota_demand demands[DEMANDS_MOST];
+    const struct job *jobs[DEMANDS_MOST];
+    struct quota_amount lasting;
+    int n = 0;
+    count_used(t, &lasting);
+    GArray *order = rounds_rank_team(t->team);
+    for (guint i = 0; i < order->len && n < DEMANDS_MOST; i++) {
+        const struct job *j = g_array_index(order, struct rounds_ranked, i).j;
+        int waiting = tasks_waiting(j);
+        if (waiting <= 0 || part_at(&t->record, jobs_share(j)) < 0) continue;
+        if (quota_part_closing(&t->record, t->home, quota_settings->size, jobs_share(j))) continue;
+        jobs[n] = j;
+        demands[n++] = (struct quota_demand){.share = jobs_share(j),
+                                             .tasks = waiting,
+                                             .each = quota_amount_used(&j->spec, 1),
+                                             .whole = j->spec.shape == JOB_GROUP,
+                                             .may_gather = !gave_up_lately(j->spec.uid)};
+    }
+    g_array_free(order, TRUE);
+    t->targets = quota_targets(&t->record, t->used, lasting, demands, n);
+    keep_gatherer(t, t->targets.gatherer >= 0 ? jobs[t->targets.gatherer] : NULL);
+    t->looked = true;
+}
--- /dev/null
+++ b/src/quota/demand.h
@@ -0,0 +1,8 @@
+/* What a divided team's jobs use and ask for, from the mirror. With store_lock held. Internal to this slice. */
+#ifndef FF_QUOTA_DEMAND_H
+#define FF_QUOTA_DEMAND_H
+#include "state.h"
+
+/* Counts what each part uses, and computes the targets. */
+void quota_look(struct quota_team *t);
+#endif
--- /dev/null
+++ b/src/quota/record.h
@@ -0,0 +1,19 @@
+/* The record of a divided team's parts in the state service, `quota/TEAM`, and what each controller's settings say of
+ * the divided teams, `quota-view/NODE`. Only the forms: pure. */
+#ifndef FF_QUOTA_RECORD_H
+#define FF_QUOTA_RECORD_H
+#include "../base/base.h"
+#include "parts.h"
+
+cJSON *quota_record_value(const struct quota_record *r);
+/* False, with the fault named, where the value is of another form or breaks the invariant. */
+bool quota_record_read(const cJSON *value, int size, struct quota_record *out, const char **fault);
+
+/* What one controller's settings say of a team. */
+struct quota_view {
+    int shares; /* 0: nothing is known */
+    struct quota_amount limit, guarantee;
+};
+void quota_view_add(cJSON *views, const char *team, const struct quota_view *view);
+bool quota_view_read(const cJSON *views, const char *team, struct quota_view *out);
+#endif
--- a/src/records/records.h
+++ b/src/records/records.h
@@ -94,8 +94,9 @@
 /* What the owner remembers of a share. */
 struct records_share {
     int64_t fence;
-    int64_t next; /* counter of attempts under this fence */
-    bool barrier; /* a transaction's outcome is unknown: nothing more before the share's stamp has moved */
+    int64_t next;           /* counter of attempts under this fence */
+    bool barrier;           /* a transaction's outcome is unknown: nothing more before the share's stamp has moved */
+    int64_t conflict_epoch; /* the store's, when it last refused a write for its conditions */
     struct timespec since, passed, tidied;
     struct timespec apart_until; /* until then a transaction holds one record: one was refused as malformed */
     struct timespec alarm;       /* when a machine last failed to answer for the first time */
--- a/src/renting/renting.c
+++ b/src/renting/renting.c
@@ -9,6 +9,7 @@
 #include "../cloud/cloud.h"
 #include "../membership/membership.h"
 #include "../placement/placement.h"
+#include "../quota/quota.h"
 #include "../rounds/rounds.h"
 #include "../transfer/transfer.h"
 #include "../watch/watch.h"
@@ -263,10 +264,10 @@
     else if (j->spec.together)
         fullest_zone(p->share, p->vms, j, site, sizeof site);
     guint from = 0;
-    double gpus_max = cfg->teams[j->spec.team].gpus_max, used = 0;
+    double gpus_max = quota_bound(j->spec.team, jobs_share(j)).gpus, used = 0;
     for (int x = 0; x < left && x < TASKS_MOST; x++) {
         used += j->spec.gpus;
-        if (gpus_max > 0 && used > gpus_max) break;
+        if (used > gpus_max) break;
         rent_for_task(p, j, within, site, sizeof site, &from);
     }
     int gathered = j->spec.together ? settings_zone(cfg, site) : -1;
--- a/src/rounds/plan.c
+++ b/src/rounds/plan.c
@@ -7,6 +7,7 @@
 #include "../bookings/bookings.h"
 #include "../failures/failures.h"
 #include "../preempt/preempt.h"
+#include "../quota/quota.h"
 #include "round.h"
 
 static int64_t next_attempt(int k) { return records_shares[k].fence * 1048576 + ++records_shares[k].next; }
@@ -23,7 +24,7 @@
 /* A gang: all of it or nothing, in one zone if it asks for that. */
 static bool plan_gang(struct round *r, struct job *j, GPtrArray *mine, const struct placement_rules *rules,
                       struct preempt_usage *u) {
-    if (!preempt_quota_left(&u[j->spec.team], &j->spec, j->spec.tasks)) return true;
+    if (!preempt_quota_left(&u[j->spec.team], j, j->spec.tasks)) return true;
     for (int z = 0; z < (j->spec.together ? round_settings->n_zones : 1); z++) {
         const char *zone = j->spec.together ? round_settings->zones[z] : NULL;
         guint from = r->plans->len;
@@ -76,7 +77,7 @@
                                struct preempt_usage *u) {
     int64_t attempt = rounds_gang_open(j);
     int missing = j->spec.tasks - bookings_count(j);
-    if (!attempt || !preempt_quota_left(&u[j->spec.team], &j->spec, missing)) return false;
+    if (!attempt || !preempt_quota_left(&u[j->spec.team], j, missing)) return false;
     guint from = r->plans->len;
     struct preempt_usage before = u[j->spec.team];
     uint8_t *booked = bookings_bits(j);
@@ -167,7 +168,7 @@
     for (int done = 0; done <= j->spec.tasks / 8; done++) busy[done] |= j->pend[done];
     for (int t = 0; t < j->spec.tasks && missing > 0; t++) {
         if (jobs_bit(busy, t)) continue;
-        if (!preempt_quota_left(&u[j->spec.team], &j->spec, 1)) break;
+        if (!preempt_quota_left(&u[j->spec.team], j, 1)) break;
         if (r->plans->len >= PLANS_MOST) {
             r->more = true;
             break;
@@ -228,7 +229,7 @@
     return false;
 }
 
-/* What each team's tasks take. A team's jobs are all this share's; what is over has been proven gone. */
+/* What each team's tasks take of this share: all of the team's, unless it is divided. What is over is proven gone. */
 static void count_usage(int k, struct preempt_usage *u) {
     GPtrArray *lists[] = {jobs_active_of(k), jobs_ended_of(k)};
     for (size_t l = 0; l < G_N_ELEMENTS(lists); l++)
@@ -308,7 +309,9 @@
     struct placement_rules rules = {round_settings->tuning.reception, round_settings->tuning.admission,
                                     rounds_reception(k)};
     count_usage(k, u);
+    quota_refresh();
     preempt_refresh();
+    bool held_back[SETTINGS_TEAMS] = {false};
     int *missing = g_new0(int, order->len + 1);
     for (guint i = 0; i < order->len; i++) {
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
@@ -324,6 +327,7 @@
         struct job *j = g_array_index(order, struct rounds_ranked, i).j;
         bool within = g_array_index(order, struct rounds_ranked, i).within;
         if (missing[i] <= 0 || waits_to_retry(j)) continue;
+        if (held_back[j->spec.team] && quota_counts_scarce(j)) continue;
         if (jobs_planned >= r->left || r->plans->len >= PLANS_MOST) {
             r->more = true;
             mark_unplaced(k, order, i, missing, free);
@@ -339,6 +343,7 @@
         j->unplaced = j->spec.shape == JOB_GROUP ? plan_group(r, j, within, mine, room, &rules, u)
                                                  : plan_tasks(r, j, within, missing[i], mine, room, &rules, u);
         jobs_planned += r->plans->len > before;
+        held_back[j->spec.team] |= quota_gathers(j);
         if (j->unplaced) note_no_room(&none, &j->spec);
         if (failures_suspect(j)) j->unplaced = false; /* it waits for room, and has none rented */
         if (j->unplaced) records_shares[k].fit_nowhere = true;
--- a/src/rounds/rank.c
+++ b/src/rounds/rank.c
@@ -4,6 +4,7 @@
 #include "../bookings/bookings.h"
 #include "../chains/chains.h"
 #include "../failures/failures.h"
+#include "../quota/quota.h"
 #include "round.h"
 
 #define WAIT_BOUND 75 /* nobody is to wait 90 s beside room that fits */
@@ -69,19 +70,30 @@
 
 bool rounds_has_guarantee(const struct settings_team *t) { return t->cpus > 0 || t->gpus > 0; }
 
-/* The share's unfinished jobs: those within a guarantee first, then by rank, then by when they are due. */
-GArray *rounds_rank(int k) {
+/* Which jobs are asked for. */
+struct rank_filter {
+    int share, team; /* -1: any */
+};
+
+static bool asked_for(const struct rank_filter *f, const struct job *j) {
+    return (f->share < 0 || jobs_share(j) == f->share) && (f->team < 0 || j->spec.team == f->team);
+}
+
+/* Of the jobs, oldest first, those that are asked for: within a guarantee first, then by rank, then by when they are
+ * due. The others count towards their teams' guarantees. */
+static GArray *rank_jobs(const GPtrArray *jobs, const struct rank_filter *filter) {
     GArray *out = g_array_new(FALSE, FALSE, sizeof(struct rounds_ranked));
     double cpu[SETTINGS_TEAMS] = {0}, gpu[SETTINGS_TEAMS] = {0};
     double now = base_time_of_day();
-    GPtrArray *jobs = jobs_active_of(k);
     for (guint i = 0; i < jobs->len; i++) {
         struct job *j = jobs->pdata[i];
         if (j->spec.team < 0 || chains_waits(j)) continue;
+        if (filter->team >= 0 && j->spec.team != filter->team) continue;
         const struct settings_team *t = &round_settings->teams[j->spec.team];
         int left = failures_suspect(j) ? bookings_count(j) : j->spec.tasks - j->n_pend;
         cpu[j->spec.team] += left * j->spec.vcpus;
         gpu[j->spec.team] += left * j->spec.gpus;
+        if (!asked_for(filter, j)) continue;
         struct rounds_ranked r = {j,
                                   rounds_has_guarantee(t) && !failures_suspect(j) &&
                                       (t->cpus <= 0 || cpu[j->spec.team] <= t->cpus + 1e-6) &&
@@ -93,6 +105,13 @@
     return out;
 }
 
+GArray *rounds_rank(int k) {
+    /* What is within a divided team's guarantee is decided over all its shares. */
+    return rank_jobs(quota_any_divided() ? jobs_active() : jobs_active_of(k), &(struct rank_filter){k, -1});
+}
+
+GArray *rounds_rank_team(int team) { return rank_jobs(jobs_active(), &(struct rank_filter){-1, team}); }
+
 int rounds_missing(const struct job *j) {
     int n = j->spec.tasks - j->n_pend;
     for (guint b = 0; b < j->bookings->len; b++) {
--- a/src/rounds/rounds.c
+++ b/src/rounds/rounds.c
@@ -10,6 +10,7 @@
 #include "../membership/membership.h"
 #include "../placement/placement.h"
 #include "../preempt/preempt.h"
+#include "../quota/quota.h"
 #include "../renting/renting.h"
 #include "../transfer/transfer.h"
 #include "../watch/watch.h"
@@ -254,6 +255,7 @@
             store_unlock();
             again = true;
         } else if (rc == STORE_CONFLICT) {
+            records_shares[k].conflict_epoch = a.epoch;
             /* Bookings and pages only in the order of the watch: read on their own they would be ahead of the records
              * that they rest on. */
             for (guint f = 0; f < a.failed->len; f++)
@@ -300,6 +302,7 @@
         base_wakeup_wait(&wakeup, base_span(0.5));
         bool again = false;
         for (int k = 0; k < round_settings->size; k++) again |= run_round(c, k);
+        quota_run(c);
         if (base_since(watched) > 0.5) {
             watched = base_now();
             store_lock();
--- a/src/rounds/rounds.h
+++ b/src/rounds/rounds.h
@@ -14,6 +14,7 @@
     double due; /* time of day */
 };
 GArray *rounds_rank(int k);               /* the share's unfinished jobs in order */
+GArray *rounds_rank_team(int team);       /* a team's, in whatever shares they are */
 int rounds_missing(const struct job *j);  /* tasks neither done nor booked */
 bool rounds_has_aim(const struct job *j); /* somebody expects jobs of its class to start or end by a time */
 bool rounds_has_guarantee(const struct settings_team *t);
--- a/src/service/service.c
+++ b/src/service/service.c
@@ -13,6 +13,7 @@
 #include "../membership/membership.h"
 #include "../peers/peers.h"
 #include "../preempt/preempt.h"
+#include "../quota/quota.h"
 #include "../records/records.h"
 #include "../renting/renting.h"
 #include "../rounds/rounds.h"
@@ -49,6 +50,7 @@
     membership_init(s);
     format_init(s);
     peers_init(s);
+    quota_init(s);
     jobs_init(s);
     users_init(s);
     chains_init(s);
@@ -101,6 +103,7 @@
         "(median %.1f ms, p95 %.1f ms)",
         jobs_active()->len, records_machines()->len, (now - last) / 10.0, store_budget_pace(false),
         store_budget_pace(true), base_since(store_verified()), answers, median, p95);
+    quota_tell();
     store_unlock();
     static struct store_changes before;
     struct store_changes written = store_changes_written();
--- /dev/null
+++ b/src/service/service_quota_test.c
@@ -0,0 +1,268 @@
+/* Divided teams with three real controllers: whatever fails, what workers hold never exceeds a team's limit, no team
+ * stays below its guarantee for long while it has work that fits, no task is on two machines, and every job ends.
+ *
+ * One row a run: the stand-ins begin from nothing. Judged by the workers' own log, not by what was booked. */
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "../../tests/standin/cluster.h"
+#include "../../tests/standin/fleet.h"
+#include "../../tests/standin/history.h"
+#include "../../tests/standin/site.h"
+#include "../../tests/standin/state.h"
+
+#define CONTROLLERS 3
+#define LIMIT 12.0
+#define LOWER_LIMIT 6.0
+#define GUARANTEE 4.0
+#define TEAMS_WITH(red_limit)                                                         \
+    "[{\"name\":\"red\",\"cpus\":0,\"cpus_max\":0,\"gpus\":4,\"gpus_max\":" red_limit \
+    "},"                                                                              \
+    "{\"name\":\"blue\",\"cpus\":0,\"cpus_max\":0,\"gpus\":4,\"gpus_max\":12},"       \
+    "{\"name\":\"green\",\"cpus\":0,\"cpus_max\":0,\"gpus\":0,\"gpus_max\":0}]"
+#define TEAMS TEAMS_WITH("12")
+#define LOWER_TEAMS TEAMS_WITH("6")
+#define DIVIDED "gather_s = 5\ndivide = ( { team = \"red\", shares = 3 }, { team = \"blue\", shares = 3 } )\n"
+#define UNDIVIDED "divide = ( { team = \"*\", shares = 1 } )\n"
+#define GUARANTEE_BOUND_S 12.0 /* with leases of 2.5 and 4 s, and boots */
+
+static void submit(int at, const struct cluster_job *job) {
+    assert_int_equal(cluster_submit(at, job) / 100, 2);
+    history_accepted(history_log(), history_now(), job->uid, job->team, job->tasks, job->gpus);
+}
+
+static void submit_red(int at, const char *uid, const char *shape, int tasks) {
+    submit(at, &(struct cluster_job){uid, "red", shape, "normal", tasks, 2, 1, NULL});
+}
+
+static void cancel(int at, const char *uid) {
+    assert_int_equal(cluster_cancel(at, uid, 20), 200);
+    history_cancelled(history_log(), history_now(), uid);
+}
+
+/* Work of one team, submitted at one controller: arrays, and gangs of four. */
+#define BURST_JOBS 8
+struct burst {
+    int at, serial;
+    const char *team;
+    bool accepted;
+};
+
+static void burst_uid(const struct burst *b, int n, char *uid, size_t size) {
+    g_snprintf(uid, size, "req-1%d%d%02d", b->serial, b->at, n);
+}
+
+static void *burst_main(void *arg) {
+    struct burst *b = arg;
+    b->accepted = true;
+    for (int n = 0; n < BURST_JOBS; n++) {
+        char uid[32];
+        bool gang = n % 4 == 3;
+        burst_uid(b, n, uid, sizeof uid);
+        const struct cluster_job job = {uid, b->team, gang ? "group" : "batch", "normal", gang ? 4 : 3, 2, 1, NULL};
+        if (cluster_submit(b->at, &job) / 100 == 2)
+            history_accepted(history_log(), history_now(), uid, b->team, job.tasks, job.gpus);
+        else
+            b->accepted = false;
+    }
+    return NULL;
+}
+
+/* The same second at every controller, together five times the limit. */
+static void burst_everywhere(struct burst *all, const char *team, int serial) {
+    pthread_t threads[CONTROLLERS];
+    for (int i = 0; i < CONTROLLERS; i++) {
+        all[i] = (struct burst){i, serial, team, false};
+        assert_int_equal(pthread_create(&threads[i], NULL, burst_main, &all[i]), 0);
+    }
+    for (int i = 0; i < CONTROLLERS; i++) pthread_join(threads[i], NULL);
+    for (int i = 0; i < CONTROLLERS; i++) assert_true(all[i].accepted);
+}
+
+static void burst_ends(const struct burst *all) {
+    for (int i = 0; i < CONTROLLERS; i++)
+        for (int n = 0; n < BURST_JOBS; n++) {
+            char uid[32];
+            burst_uid(&all[i], n, uid, sizeof uid);
+            if (!cluster_becomes(uid, "done", 60)) fail_msg("%s is not done", uid);
+        }
+}
+
+static void burst(void) {
+    struct burst red[CONTROLLERS];
+    burst_everywhere(red, "red", 0);
+    burst_ends(red);
+    assert_true(history_peak(history_log(), "red") > LIMIT / 2); /* the limit is made use of */
+}
+
+/* A trouble in the middle of a burst, and a burst in the middle of the trouble. */
+static void burst_with(void (*begins)(void), double lasts_s, void (*ends)(void)) {
+    struct burst before[CONTROLLERS], during[CONTROLLERS];
+    burst_everywhere(before, "red", 0);
+    struct timespec began = base_now();
+    begins();
+    burst_everywhere(during, "red", 1);
+    cluster_wait(began, lasts_s);
+    if (ends) ends();
+    burst_ends(before);
+    burst_ends(during);
+}
+
+static void end_second(void) { cluster_end(1); }
+static void begin_second(void) { cluster_begin(1); }
+static void back_at_once(void) {
+    for (int n = 0; n < 2; n++) {
+        cluster_end(1);
+        cluster_begin(1);
+        base_sleep(base_span(0.3));
+    }
+}
+static void stop_second(void) { cluster_stop(1); }
+static void continue_second(void) { cluster_continue(1); }
+static void shut_first(void) { cluster_shut(0, true); }
+static void open_first(void) { cluster_shut(0, false); }
+static void shut_second(void) { cluster_shut(1, true); }
+static void open_second(void) { cluster_shut(1, false); }
+static void late_writes(void) { standin_state_late(1.5); }
+static void no_late_writes(void) { standin_state_late(0); }
+
+static void owner_ends(void) { burst_with(end_second, 6, begin_second); }
+static void owner_is_back(void) { burst_with(back_at_once, 0, NULL); }
+static void owner_stands_still(void) { burst_with(stop_second, 6, continue_second); }
+static void owner_is_cut(void) { burst_with(shut_first, 6, open_first); }
+static void owner_is_refused(void) { burst_with(shut_second, 6, open_second); }
+static void transactions_late(void) { burst_with(late_writes, 5, no_late_writes); }
+
+/* The store is out for longer than cancel_s while parts move, and jobs are cancelled just before. */
+static void store_out(void) {
+    struct burst red[CONTROLLERS];
+    submit_red(0, "req-90001", "standing", 3);
+    submit_red(1, "req-90002", "standing", 2);
+    assert_true(cluster_runs("req-90001/2", 1, 20) && cluster_runs("req-90002/1", 1, 20));
+    burst_everywhere(red, "red", 0);
+    standin_state_trouble(STANDIN_LOST_ANSWER);
+    base_sleep(base_span(0.1));
+    cancel(0, "req-90001");
+    struct timespec told = base_now();
+    standin_state_trouble(STANDIN_OUTAGE);
+    cluster_wait(told, CLUSTER_CANCEL_S);
+    for (int t = 0; t < 3; t++) {
+        char task[32];
+        g_snprintf(task, sizeof task, "req-90001/%d", t);
+        assert_int_equal(standin_workers_running(task), 0);
+    }
+    cluster_wait(told, CLUSTER_CANCEL_S + 2);
+    standin_state_trouble(STANDIN_NONE);
+    burst_ends(red);
+    cancel(1, "req-90002");
+}
+
+/* Two gangs that each need more than half of the limit: one after the other. */
+static void two_gangs(void) {
+    struct burst red[CONTROLLERS];
+    burst_everywhere(red, "red", 0);
+    submit_red(0, "req-10901", "group", 8);
+    submit_red(1, "req-10902", "group", 8);
+    assert_true(cluster_becomes("req-10901", "done", 60) && cluster_becomes("req-10902", "done", 60));
+    burst_ends(red);
+}
+
+#define FLOOD_JOBS 240 /* twice what the limit serves in the time that their submission takes */
+
+static void flood_uid(int n, char *uid, size_t size) { g_snprintf(uid, size, "req-14%04d", n); }
+
+static void *flood_main(void *accepted) {
+    for (int n = 0; n < FLOOD_JOBS; n++) {
+        char uid[32];
+        flood_uid(n, uid, sizeof uid);
+        const struct cluster_job job = {uid, "red", "batch", "normal", 1, 2, 1, NULL};
+        if (cluster_submit(n % CONTROLLERS, &job) / 100 != 2) return NULL;
+        history_accepted(history_log(), history_now(), uid, "red", 1, 1);
+        base_sleep(base_span(0.025));
+    }
+    *(bool *)accepted = true;
+    return NULL;
+}
+
+/* A flood of one-task jobs at all controllers, and a gang that needs most of the limit. */
+static void gang_and_flood(void) {
+    bool accepted = false;
+    pthread_t thread;
+    assert_int_equal(pthread_create(&thread, NULL, flood_main, &accepted), 0);
+    base_sleep(base_span(2));
+    submit_red(2, "req-10903", "group", 10);
+    pthread_join(thread, NULL);
+    assert_true(accepted);
+    assert_true(cluster_becomes("req-10903", "done", 60));
+    for (int n = 0; n < FLOOD_JOBS; n++) {
+        char uid[32];
+        flood_uid(n, uid, sizeof uid);
+        if (!cluster_becomes(uid, "done", 60)) fail_msg("%s is not done", uid);
+    }
+}
+
+static const struct row {
+    const char *what;
+    void (*bring_about)(void);
+} rows[] = {
+    {"a burst at every controller", burst},
+    {"an owner ends", owner_ends},
+    {"an owner is back in a fraction of a second", owner_is_back},
+    {"an owner stands still past its lease", owner_stands_still},
+    {"an owner is cut from store and peers", owner_is_cut},
+    {"the store refuses one owner", owner_is_refused},
+    {"transactions come late", transactions_late},
+    {"the store is out over transfers", store_out},
+    {"two gangs of more than half", two_gangs},
+    {"a gang and a flood", gang_and_flood},
+};
+static size_t row;
+
+static bool divided(const char *team) {
+    char key[64];
+    g_snprintf(key, sizeof key, "quota/%s", team);
+    char *text = standin_state_value(key);
+    g_free(text);
+    return text != NULL;
+}
+
+static void begin_divided(void) {
+    for (int i = 0; i < CONTROLLERS; i++) {
+        assert_true(cluster_quota(i, DIVIDED));
+        cluster_begin(i);
+    }
+    assert_true(cluster_shared(20));
+    struct timespec start = base_now();
+    while (!(divided("red") && divided("blue")) && base_since(start) < 10) base_sleep(base_span(0.05));
+    assert_true(divided("red") && divided("blue"));
+}
+
+static void quota(void **state) {
+    (void)state;
+    begin_divided();
+    rows[row].bring_about();
+    const struct history *log = history_log();
+    assert_int_equal(history_above(log, "red", LIMIT), 0);
+    assert_int_equal(history_above(log, "blue", LIMIT), 0);
+    assert_int_equal(history_twice(log), 0);
+    for (int t = 0; t < 2; t++) {
+        const char *team = t ? "blue" : "red";
+        double starved = history_starved(log, team, GUARANTEE);
+        if (starved > GUARANTEE_BOUND_S) fail_msg("team %s was below its guarantee for %.1f s", team, starved);
+    }
+    assert_int_equal(standin_cloud_claims_reused(), 0);
+    assert_int_equal(standin_state_unguarded(), 0);
+}
+
+int main(int argc, char **argv) {
+    static const struct cluster_site site = {
+        .controllers = CONTROLLERS, .shares = 3, .teams = {TEAMS}, .first_sees_no_peer = true};
+    row = argc > 2 ? (size_t)atoi(argv[2]) : 0;
+    if (row >= G_N_ELEMENTS(rows) || argc < 2 || !cluster_start(argv[1], &site)) return 2;
+    standin_cloud_willing();
+    const struct CMUnitTest tests[] = {{rows[row].what, quota, NULL, NULL, NULL}};
+    int rc = cmocka_run_group_tests(tests, NULL, NULL);
+    cluster_clear();
+    return rc;
+}
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -11,6 +11,7 @@
 
 struct settings_team {
     char *name;
+    int shares;                            /* that the team is divided over; 1: it is not */
     double cpus, cpus_max, gpus, gpus_max; /* a maximum of 0: none */
 };
 struct settings_seed {
@@ -33,6 +34,11 @@
     double dear_backlog; /* part of the wanted time that cheap work's backlog may last before dear machines help */
 };
 
+/* Operators' settings of divided teams. */
+struct settings_quota {
+    struct timespec gather; /* for so long room is held back for one job that needs more than is free */
+};
+
 struct settings {
     char *node, *area, *bind, *cluster_listen, *cloud, *state;
     struct settings_seed seeds[SETTINGS_SEEDS];
@@ -56,12 +62,15 @@
     struct timespec list_lag;
     int sockets;
     struct settings_tuning tuning;
+    struct settings_quota quota;
 };
 
 /* On failure err says file and field. */
 bool settings_load(const char *path, struct settings *out, char *err, size_t errlen);
 bool settings_parse(const char *json, const char *name, struct settings *out, char *err, size_t errlen);
 bool settings_parse_tuning(const char *hcl, const char *name, struct settings_tuning *out, char *err, size_t errlen);
+/* Reads which teams are divided, into settings that are read already. */
+bool settings_parse_quota(const char *hcl, const char *name, struct settings *out, char *err, size_t errlen);
 void settings_clear(struct settings *s);
 /* The shortest time that an aim of this kind names for the class; otherwise, where none does. */
 double settings_within(const struct settings *s, enum settings_aim kind, const char *jobclass, double otherwise);
--- a/src/store/store.c
+++ b/src/store/store.c
@@ -229,6 +229,7 @@
         if (status == 200 && base_int(ans, "epoch", &a->epoch)) {
         } else if (status == 409) {
             r = STORE_CONFLICT;
+            base_int(ans, "epoch", &a->epoch);
             a->failed = g_ptr_array_new_with_free_func(g_free);
             const cJSON *x;
             cJSON_ArrayForEach(x, cJSON_GetObjectItemCaseSensitive(ans, "failed")) if (cJSON_IsString(x))
--- a/src/store/store.h
+++ b/src/store/store.h
@@ -23,7 +23,7 @@
 
 struct store_answer {
     int64_t epoch;
-    GPtrArray *failed; /* keys, on CONFLICT */
+    GPtrArray *failed; /* keys, on CONFLICT; epoch is then the store's at the time */
 };
 void store_answer_clear(struct store_answer *a);
 
--- a/src/transfer/transfer.c
+++ b/src/transfer/transfer.c
@@ -6,6 +6,7 @@
 #include "../membership/membership.h"
 #include "../placement/placement.h"
 #include "../preempt/preempt.h"
+#include "../quota/quota.h"
 #include "../renting/renting.h"
 #include "../rounds/rounds.h"
 
@@ -91,7 +92,7 @@
         if (reclaimable && !rounds_has_aim(j)) continue;
         const struct settings_team *t = &cfg->teams[j->spec.team];
         int left = rounds_missing(j), tasks = j->spec.shape == JOB_BATCH ? 1 : left;
-        if (left <= 0 ||
+        if (left <= 0 || !quota_waits_for_machines(j, tasks) ||
             (t->gpus_max > 0 && preempt_beyond(j->spec.team) + t->gpus + tasks * j->spec.gpus > t->gpus_max))
             continue;
         if (!takes_all(vms, j, left)) {
@@ -129,7 +130,7 @@
         if (j->spec.reclaimable && m->bookings->len == 0 && records_shares[k].fit_nowhere && !within) continue;
         bool all = true;
         for (guint b = 0; b < m->bookings->len; b++) all &= preempt_evictable(m->bookings->pdata[b], j, within);
-        if (!all) continue;
+        if (!all || !quota_may_be_cleared(m, j->rank)) continue;
         double cost = m->bookings->len * 2.0;
         for (guint b = 0; b < m->bookings->len; b++) cost += preempt_fresh_start(m->bookings->pdata[b]);
         cost += (g_hash_table_contains(m->images, j->spec.image) ? 0 : 3);
@@ -163,6 +164,7 @@
         log_info("machine %s: transfer from share %d to share %d for %s", m->id, k, s, j->spec.uid);
         for (guint b = 0; b < m->bookings->len; b++) {
             struct booking *x = m->bookings->pdata[b];
+            if (!x->stop) quota_stopped(x);
             bookings_stop(x, x->job->spec.checkpoint_s > 0 ? x->job->spec.flush_s + 1 : 0);
         }
     }
--- a/src/users/users.c
+++ b/src/users/users.c
@@ -11,6 +11,7 @@
 #include "../cloud/cloud.h"
 #include "../membership/membership.h"
 #include "../peers/peers.h"
+#include "../quota/quota.h"
 
 static const struct settings *cfg;
 
@@ -20,6 +21,7 @@
     struct http_req *req;
     char uid[64];
     char *spec_text;
+    int team;
     char **prerequisites;
     unsigned refusal; /* 400, 422 or 503, unless the job is known; 0: none */
     char why[128];
@@ -166,6 +168,7 @@
     if (!known && ready && !refusal)
         a->refusal = (unsigned)jobs_feasible(&spec, cfg, cloud_flavours(), cloud_flavours_count(), why, sizeof why);
     store_unlock();
+    a->team = refusal ? -1 : spec.team;
     a->prerequisites = spec.prerequisites;
     spec.prerequisites = NULL;
     jobs_spec_clear(&spec);
@@ -313,6 +316,8 @@
     return NULL;
 }
 
+static int share_of_new(const struct user_request *a) { return a->team < 0 ? -1 : quota_share_of_new(a->team, a->uid); }
+
 /* Fills the transaction for one round of submissions and cancels; a job known by now needs a compare only. */
 static void accept_fill(GPtrArray *batch, struct store_txn *t) {
     char key[96];
@@ -327,7 +332,7 @@
         if (twice) continue;
         if (a->kind == REQUEST_SUBMIT && !(j && j->known) && !a->refusal) {
             enum job_state state = chains_cancelled_among(a->prerequisites) ? JOB_CANCELLED : JOB_QUEUED;
-            store_txn_set(t, key, jobs_value(a->spec_text, state, base_time_of_day()), 0);
+            store_txn_set(t, key, jobs_value(a->spec_text, state, base_time_of_day(), share_of_new(a)), 0);
         } else if (j && j->known && j->state == JOB_QUEUED && (a->kind == REQUEST_CANCEL || chains_to_cancel(j))) {
             store_txn_set(t, key, jobs_final_value(j, JOB_CANCELLED), 0);
         }
--- /dev/null
+++ b/tests/standin/cluster.h
@@ -0,0 +1,50 @@
+/* Several controllers as real processes against the stand-ins, with short times, on free ports. Each sees the store
+ * through a door of its own, which can be shut for it alone. */
+#ifndef FF_STANDIN_CLUSTER_H
+#define FF_STANDIN_CLUSTER_H
+#include "base/base.h"
+
+#define CLUSTER_MOST 5
+#define CLUSTER_LEASE_S 4
+#define CLUSTER_CANCEL_S 8
+
+struct cluster_site {
+    int controllers;
+    int shares;
+    const char *teams[CLUSTER_MOST]; /* JSON list of each controller's settings; NULL: that of the first */
+    const char *next_limits;         /* `state.next`; NULL: none */
+    bool first_sees_no_peer;
+};
+
+bool cluster_start(const char *program, const struct cluster_site *site); /* the stand-ins; no controller yet */
+void cluster_clear(void);                                                 /* ends what runs */
+void cluster_program(int i, const char *program); /* what that controller is from its next beginning on */
+/* Its file of divided teams from its next beginning on; NULL: none. */
+bool cluster_quota(int i, const char *hcl);
+bool cluster_teams(int i, const char *teams); /* another list in its settings from its next beginning on */
+void cluster_begin(int i);
+void cluster_end(int i);
+void cluster_stop(int i); /* stands still as a whole until it is continued */
+void cluster_continue(int i);
+void cluster_shut(int i, bool shut); /* the store refuses this controller alone */
+
+bool cluster_names(const char *key, const char *field, int i); /* the record's field names that controller */
+int cluster_owner(int share);                                  /* index of its owner; -1: none that lives */
+bool cluster_shared(double within);                            /* every share has an owner */
+
+struct cluster_job {
+    const char *uid, *team, *shape, *rank;
+    int tasks;
+    double vcpus, gpus;
+    const char *prerequisites; /* JSON list; NULL: none */
+};
+/* Asks one controller; 0: no answer. The state, where it is asked for, is empty if the answer has none. */
+long cluster_ask(int i, const char *method, const char *path, const char *body, char *state, size_t n);
+long cluster_submit_once(int i, const struct cluster_job *job);
+/* Submits at one controller, then the next, until it is accepted or refused for good; the status that ended it. */
+long cluster_submit(int first, const struct cluster_job *job);
+long cluster_cancel(int first, const char *uid, double within); /* until somebody confirms it */
+bool cluster_becomes(const char *uid, const char *state, double within);
+bool cluster_runs(const char *task, int want, double within); /* on so many machines */
+void cluster_wait(struct timespec since, double seconds);
+#endif
--- /dev/null
+++ b/tests/standin/history.h
@@ -0,0 +1,36 @@
+/* What workers held when, and what can be shown from it: which team used how much, whatever the controllers booked.
+ * Pure but for the process-wide log that the stand-in workers write. */
+#ifndef FF_STANDIN_HISTORY_H
+#define FF_STANDIN_HISTORY_H
+#include <stdbool.h>
+
+#define HISTORY_NAME 64
+
+struct history;
+struct history *history_new(void);
+void history_free(struct history *h);
+
+/* A task came to a machine, or is gone from it. Times in seconds, in any order. */
+void history_task(struct history *h, double at, const char *task, bool comes);
+/* A job as its user sees it: when it was accepted, and when it was cancelled. */
+void history_accepted(struct history *h, double at, const char *uid, const char *team, int tasks, double gpus);
+void history_cancelled(struct history *h, double at, const char *uid);
+
+/* The most GPUs that the team's tasks held at one moment. */
+double history_peak(const struct history *h, const char *team);
+/* How often a task that came took its team above the limit. */
+int history_above(const struct history *h, const char *team, double limit);
+/* The longest time in seconds for which the team held less than its guarantee while a task of it that fits into the
+ * guarantee had been accepted, was not cancelled, and had not come. */
+double history_starved(const struct history *h, const char *team, double guarantee);
+/* How often a task came while it was on another machine. */
+int history_twice(const struct history *h);
+/* How long from one time on until the team held so much; negative: never. */
+double history_reached(const struct history *h, const char *team, double from, double gpus);
+/* The mean part of the limit in use over a span. */
+double history_mean(const struct history *h, const char *team, double from, double to, double limit);
+
+/* The log that the stand-in workers write. */
+struct history *history_log(void);
+double history_now(void); /* of the log's times */
+#endif
