workers: log each directive with its channel, message and token

Cause: when a worker runs a task that the owner has released, the log did not tell by which way its start arrived: in a command, in the response to a heartbeat, or from an earlier owner.

Change: at level debug, each directive is logged with the channel, the sequence of the message that it answers and the fencing token, and each command with starts with its outcome.

--- a/src/workers/codec.c
+++ b/src/workers/codec.c
@@ -58,6 +58,8 @@
 
 const char *codec_read_task_cause(const cJSON *item) { return json_get_string(item, "cause"); }
 
+const char *codec_directive_name(enum directive_kind kind) { return directive_names[kind]; }
+
 void codec_add_directive(cJSON *directives, const struct directive *directive) {
     cJSON *item = cJSON_CreateObject();
     cJSON_AddStringToObject(item, KEY_DIRECTIVE_KIND, directive_names[directive->kind]);
--- a/src/workers/directives.c
+++ b/src/workers/directives.c
@@ -5,6 +5,7 @@
 #include <stdio.h>
 
 #include "../dependencies/dependencies.h"
+#include "../logging/logging.h"
 #include "../machines/machines.h"
 #include "../membership/membership.h"
 #include "codec.h"
@@ -26,6 +27,16 @@
     snprintf(name, n, "%s/%d", allocation->job->spec.job_id, allocation->task);
 }
 
+/* Appends the directive to the list of those that the machine is sent over the channel. */
+static void add_directive(const struct machine *machine, enum worker_channel channel, cJSON *directives,
+                          const struct directive *directive) {
+    log_debug("machine %s: sending %s of task %s attempt %lld %s %lld, token %lld", machine->id,
+              codec_directive_name(directive->kind), directive->task, (long long)directive->attempt,
+              channel == CHANNEL_HEARTBEAT ? "in the response to heartbeat" : "by command after message",
+              (long long)machine->agent.sequence, (long long)machines_fencing_token(machine));
+    codec_add_directive(directives, directive);
+}
+
 void directives_add_unknown_stops(const struct machine *machine, cJSON *directives) {
     for (guint i = 0; i < machine->agent.unknown_tasks->len; i++) {
         const struct unknown_task *unknown = &g_array_index(machine->agent.unknown_tasks, struct unknown_task, i);
@@ -36,13 +47,14 @@
 /* Adds directives for tasks without an allocation: a stop, or a forget if the attempt has ended. A delayed start of an
  * ended attempt has no effect as long as the worker lists that attempt. The worker is therefore told to forget the
  * attempt only when no such start can arrive any more. */
-static void add_for_unknown_tasks(const struct machine *machine, bool shows_token, cJSON *directives) {
+static void add_for_unknown_tasks(const struct machine *machine, bool shows_token, enum worker_channel channel,
+                                  cJSON *directives) {
     bool may_forget = shows_token && !machine->commands.start_outcome_unknown && !directives_start_in_flight(machine);
     for (guint i = 0; i < machine->agent.unknown_tasks->len && i < MACHINE_TASKS_MAX; i++) {
         const struct unknown_task *unknown = &g_array_index(machine->agent.unknown_tasks, struct unknown_task, i);
         if (unknown->ended && !may_forget) continue;
         enum directive_kind kind = unknown->ended ? DIRECTIVE_FORGET : DIRECTIVE_STOP;
-        codec_add_directive(directives, &(struct directive){kind, unknown->task_name, unknown->attempt, 0});
+        add_directive(machine, channel, directives, &(struct directive){kind, unknown->task_name, unknown->attempt, 0});
     }
 }
 
@@ -60,10 +72,10 @@
     directives_task_name(allocation, task, sizeof task);
     if (allocation->stop_requested) {
         struct directive stop = {DIRECTIVE_STOP, task, allocation->attempt, allocation->grace_s};
-        if (stop_due(allocation, channel)) codec_add_directive(directives, &stop);
+        if (stop_due(allocation, channel)) add_directive(machine, channel, directives, &stop);
         allocation->stop_sent = true;
     } else if (may_start && directives_awaits_start(allocation)) {
-        codec_add_directive(directives, &(struct directive){DIRECTIVE_RUN, task, allocation->attempt, 0});
+        add_directive(machine, channel, directives, &(struct directive){DIRECTIVE_RUN, task, allocation->attempt, 0});
         if (channel == CHANNEL_HEARTBEAT) {
             allocation->starts_sent++;
             machine->commands.start_incarnation = machine->agent.incarnation;
@@ -77,7 +89,7 @@
     cJSON *directives = cJSON_CreateArray();
     bool shows_token = machine->agent.reported_token >= machines_fencing_token(machine);
     bool may_start = membership_may_start_tasks();
-    add_for_unknown_tasks(machine, shows_token, directives);
+    add_for_unknown_tasks(machine, shows_token, channel, directives);
     for (guint i = 0; shows_token && i < machine->allocations->len && i < MACHINE_TASKS_MAX; i++) {
         struct allocation *allocation = machine->allocations->pdata[i];
         if (!allocation->released) add_for_allocation(allocation, may_start, channel, directives);
--- a/src/workers/senders.c
+++ b/src/workers/senders.c
@@ -77,6 +77,8 @@
                                   const struct outcome *outcome) {
     struct machine_commands *commands = &machine->commands;
     if (!command->has_start) return;
+    log_debug("machine %s: command with starts %s, status %ld", machine->id,
+              outcome->http == HTTP_NOT_SENT ? "not sent" : "sent", outcome->status);
     if (!worker_answered(outcome) && outcome->http != HTTP_NOT_SENT) {
         log_info("machine %s: outcome of a command unknown, raising its fencing token", machine->id);
     } else if (commands->unknown_start_token == command->fencing_token &&
