workers: forget an ended attempt only when no response may start it again

With a task that ended as done, it runs again beyond its team's limit.

Cause: a start may be on its way in a command and in a response to a heartbeat at the same time. The command is faster, the attempt ends, the owner releases it and sends a forget. A later start of the same attempt has no effect only while the worker lists the attempt, so the forget has to wait for every start that may still arrive. It waited for commands (start_outcome_unknown, directives_start_in_flight) but not for responses, which may take up to 4 s.

Change: the owner keeps the incarnation and sequence of the heartbeat whose response carried a start. A later heartbeat ends the wait, since a worker has one heartbeat in flight and waits for its response or drops it before it sends the next; so does a later incarnation. Answers to commands and late copies of heartbeats do not. A forget in the response to a later heartbeat is sent as before, one in a command only after the wait. Starts of an earlier owner need no wait: the worker has shown the higher token. proves_absence(), which asked whether any response of the incarnation had carried a start, asks the same question now.

--- a/src/machines/machines.c
+++ b/src/machines/machines.c
@@ -173,7 +173,7 @@
 
     struct machine_commands *commands = &machine->commands;
     commands->start_outcome_unknown = commands->needs_token_raise = false;
-    commands->start_incarnation = 0;
+    commands->response_start_incarnation = commands->response_start_sequence = 0;
     commands->needs_token_probe = commands->send_pending = machine->address[0] != 0;
 
     machine->retirement.draining = machine->retirement.return_wanted = machine->retirement.released = false;
--- a/src/model/machine.h
+++ b/src/model/machine.h
@@ -50,8 +50,10 @@
     struct timespec last_probe;
     bool start_outcome_unknown; /* a start may yet be carried out, under the token and incarnation below */
     int64_t unknown_start_token, unknown_start_incarnation;
-    bool needs_token_raise;    /* only a higher fencing token rules out that this start is carried out */
-    int64_t start_incarnation; /* latest incarnation for which a heartbeat response carried starts; 0: none */
+    bool needs_token_raise; /* only a higher fencing token rules out that this start is carried out */
+    /* Incarnation and sequence of the heartbeat whose response carried starts that may still reach the agent; 0: none.
+     */
+    int64_t response_start_incarnation, response_start_sequence;
     struct timespec non_owner_stops_sent_at; /* when this controller last sent stops without owning the machine */
 };
 
--- a/src/workers/directives.c
+++ b/src/workers/directives.c
@@ -23,6 +23,24 @@
     return machine->commands.in_flight && !machine->commands.probe_in_flight;
 }
 
+bool directives_response_start_in_flight(const struct machine *machine) {
+    return machine->commands.response_start_incarnation > 0;
+}
+
+void directives_note_message(struct machine *machine, enum worker_channel channel, int64_t incarnation,
+                             int64_t sequence) {
+    struct machine_commands *commands = &machine->commands;
+    bool is_later_heartbeat = channel == CHANNEL_HEARTBEAT && incarnation == commands->response_start_incarnation &&
+                              sequence > commands->response_start_sequence;
+    if (is_later_heartbeat || incarnation > commands->response_start_incarnation)
+        commands->response_start_incarnation = commands->response_start_sequence = 0;
+}
+
+static void note_response_start(struct machine *machine) {
+    machine->commands.response_start_incarnation = machine->agent.incarnation;
+    machine->commands.response_start_sequence = machine->agent.sequence;
+}
+
 void directives_task_name(const struct allocation *allocation, char *name, size_t n) {
     snprintf(name, n, "%s/%d", allocation->job->spec.job_id, allocation->task);
 }
@@ -44,15 +62,22 @@
     }
 }
 
-/* Adds directives for tasks without an allocation: a stop, or a forget if the attempt has ended. A delayed start of an
- * ended attempt has no effect as long as the worker lists that attempt. The worker is therefore told to forget the
- * attempt only when no such start can arrive any more. */
+/* Returns whether the worker may be told to forget attempts that have ended. A delayed start of such an attempt has no
+ * effect as long as the worker lists the attempt, and runs it again afterwards. The worker therefore forgets the
+ * attempt only when no start can arrive any more, neither in a command nor in a response to a heartbeat. Starts of an
+ * earlier owner cannot: the worker has shown this owner's higher fencing token. */
+static bool may_forget(const struct machine *machine, bool shows_token) {
+    return shows_token && !machine->commands.start_outcome_unknown && !directives_start_in_flight(machine) &&
+           !directives_response_start_in_flight(machine);
+}
+
+/* Adds directives for tasks without an allocation: a stop, or a forget if the attempt has ended. */
 static void add_for_unknown_tasks(const struct machine *machine, bool shows_token, enum worker_channel channel,
                                   cJSON *directives) {
-    bool may_forget = shows_token && !machine->commands.start_outcome_unknown && !directives_start_in_flight(machine);
+    bool forgets = may_forget(machine, shows_token);
     for (guint i = 0; i < machine->agent.unknown_tasks->len && i < MACHINE_TASKS_MAX; i++) {
         const struct unknown_task *unknown = &g_array_index(machine->agent.unknown_tasks, struct unknown_task, i);
-        if (unknown->ended && !may_forget) continue;
+        if (unknown->ended && !forgets) continue;
         enum directive_kind kind = unknown->ended ? DIRECTIVE_FORGET : DIRECTIVE_STOP;
         add_directive(machine, channel, directives, &(struct directive){kind, unknown->task_name, unknown->attempt, 0});
     }
@@ -78,7 +103,7 @@
         add_directive(machine, channel, directives, &(struct directive){DIRECTIVE_RUN, task, allocation->attempt, 0});
         if (channel == CHANNEL_HEARTBEAT) {
             allocation->starts_sent++;
-            machine->commands.start_incarnation = machine->agent.incarnation;
+            note_response_start(machine);
         }
     }
 }
--- a/src/workers/directives.h
+++ b/src/workers/directives.h
@@ -22,6 +22,13 @@
 void directives_add_unknown_stops(const struct machine *machine, cJSON *directives);
 /* Returns whether a command that may start tasks is in flight to the machine. */
 bool directives_start_in_flight(const struct machine *machine);
+/* Returns whether a start in a response to a heartbeat may still reach the machine. */
+bool directives_response_start_in_flight(const struct machine *machine);
+/* Notes that the worker has carried out or dropped all responses to heartbeats that it sent before this message, a
+ * heartbeat or the answer to a command. The worker waits for the response to a heartbeat, or drops it, before it sends
+ * the next one, and it drops responses to heartbeats of an earlier incarnation. */
+void directives_note_message(struct machine *machine, enum worker_channel channel, int64_t incarnation,
+                             int64_t sequence);
 /* Writes the name of the allocation's task, JOB/INDEX, to a buffer of n bytes. */
 void directives_task_name(const struct allocation *allocation, char *name, size_t n);
 #endif
--- a/src/workers/reconciliation.c
+++ b/src/workers/reconciliation.c
@@ -125,12 +125,12 @@
 }
 
 /* Returns whether a task that was listed before or is inherited is absent if the message does not list it. A heartbeat
- * reflects all earlier responses of this controller. The answer to a command may not, and so proves absence only if no
- * response to a heartbeat of this incarnation carried a start. The fencing token and the incarnation in the message
- * rule out starts in responses of other owners and to earlier incarnations. So after a takeover the running tasks are
- * known as soon as the machine has answered a probe; waiting for heartbeats took 20 s after a network partition. */
+ * reflects all earlier responses of this controller. The answer to a command may not, and so proves absence only while
+ * no response that carried a start is in flight. The fencing token and the incarnation in the message rule out starts
+ * in responses of other owners and to earlier incarnations. So after a takeover the running tasks are known as soon as
+ * the machine has answered a probe; waiting for heartbeats took 20 s after a network partition. */
 static bool proves_absence(const struct machine *machine, enum worker_channel channel) {
-    return channel == CHANNEL_HEARTBEAT || machine->commands.start_incarnation < machine->agent.incarnation;
+    return channel == CHANNEL_HEARTBEAT || !directives_response_start_in_flight(machine);
 }
 
 static void reconcile_tasks(struct machine *machine, const cJSON *tasks, enum worker_channel channel) {
@@ -147,6 +147,7 @@
         log_debug("machine %s: malformed heartbeat", machine->id);
         return false;
     }
+    directives_note_message(machine, channel, heartbeat->incarnation, heartbeat->sequence);
     if (!is_newer(agent, heartbeat)) return false;
     bool new_incarnation = agent->incarnation > 0 && heartbeat->incarnation > agent->incarnation;
     agent->incarnation = heartbeat->incarnation;
--- a/src/workers/reconciliation_test.c
+++ b/src/workers/reconciliation_test.c
@@ -26,7 +26,7 @@
         int incarnation, sequence, token_lag; /* of the second message; token_lag: how much its token is too low */
         enum worker_channel channel;
         bool outcome_unknown, inherited, released;
-        int start_incarnation; /* the incarnation in which a response to a heartbeat last carried starts; 0: none */
+        int start_incarnation; /* incarnation of the heartbeat, sequence 2, whose response carried starts; 0: none */
     } rows[] = {
         {"listed, then not listed", WORKER_LISTED_TASK("running"), "", 1, 3, 0, CHANNEL_HEARTBEAT, false, false, true,
          0},
@@ -65,7 +65,8 @@
         struct allocation *allocation = machine->allocations->pdata[0];
         if (rows[i].first_tasks)
             assert_true(worker_apply_message(machine, 1, 2, fencing_token, rows[i].first_tasks, CHANNEL_HEARTBEAT));
-        machine->commands.start_incarnation = rows[i].start_incarnation;
+        machine->commands.response_start_incarnation = rows[i].start_incarnation;
+        machine->commands.response_start_sequence = rows[i].start_incarnation ? 2 : 0;
         if (rows[i].outcome_unknown) {
             machine->commands.start_outcome_unknown = true;
             machine->commands.unknown_start_token = fencing_token;
@@ -80,6 +81,29 @@
     store_unlock();
 }
 
+/* A response that carries a start keeps answers to commands from proving absence, until the next heartbeat shows that
+ * the worker has carried the response out or dropped it. */
+static void answer_proves_absence_after_a_later_heartbeat(void **state) {
+    (void)state;
+    int64_t fencing_token = membership_shard(0)->fencing_token;
+    store_lock();
+    struct machine *machine = worker_add_machine("i-000990", "req-10001", WORKER_ALLOCATION("i-000990"), false);
+    const struct allocation *allocation = machine->allocations->pdata[0];
+    worker_apply_message(machine, 1, 1, fencing_token, "", CHANNEL_HEARTBEAT);
+    int starts_in_response = worker_count_directives(machine, "run");
+    worker_apply_message(machine, 1, 2, fencing_token, WORKER_LISTED_TASK("running"), CHANNEL_COMMAND);
+    worker_apply_message(machine, 1, 3, fencing_token, "", CHANNEL_COMMAND);
+    bool released_before = allocation->released;
+    worker_apply_message(machine, 1, 4, fencing_token, WORKER_LISTED_TASK("running"), CHANNEL_HEARTBEAT);
+    worker_apply_message(machine, 1, 5, fencing_token, "", CHANNEL_COMMAND);
+    bool released_after = allocation->released;
+    worker_remove_machine("req-10001");
+    store_unlock();
+    assert_int_equal(starts_in_response, 1);
+    assert_false(released_before);
+    assert_true(released_after);
+}
+
 /* After a takeover, a start of the former owner may still be in flight. Until the worker shows the new owner's fencing
  * token, it gets no directives and its allocations are not released. */
 static void takeover_waits_for_its_fencing_token(void **state) {
@@ -310,6 +334,7 @@
     shard_owner_put("job/req-10001", WORKER_JOB("req-10001", "batch", "2"));
     store_unlock();
     const struct CMUnitTest tests[] = {cmocka_unit_test(releases_only_what_is_proven_absent),
+                                       cmocka_unit_test(answer_proves_absence_after_a_later_heartbeat),
                                        cmocka_unit_test(takeover_waits_for_its_fencing_token),
                                        cmocka_unit_test(raised_fencing_token_clears_unknown_outcome),
                                        cmocka_unit_test(late_copies_are_ignored),
--- a/tests/cluster/compound_failures_test.c
+++ b/tests/cluster/compound_failures_test.c
@@ -1,6 +1,6 @@
 /* Combinations of failures, with two real controllers and stand-ins. docs/compound-failures.md describes each
- * combination. Whatever fails, no task is ever on two machines, no rental claim is reused with another request, and
- * every change of allocations or machine pages compares the revision that it replaces.
+ * combination. Whatever fails, no task is ever on two machines, no attempt starts twice, no rental claim is reused with
+ * another request, and every change of allocations or machine pages compares the revision that it replaces.
  *
  * Each process runs one row, because every row needs stand-ins that start empty. */
 #include <glib.h>
@@ -389,6 +389,27 @@
     assert_true(standin_workers_machine_of("req-90001/0") != machine);
 }
 
+/* Guards against a start in a late response to a heartbeat that runs a forgotten attempt again (review case 1). The
+ * commands that carry the same starts are late by less, so that the tasks end and are forgotten in between. */
+static void late_response_does_not_restart_a_task(void) {
+    enum { JOBS = 60 };
+    const char *team = pair_team_owned_by(0);
+    submit_long_job("req-90001", 0, 1); /* machines are up */
+    standin_workers_inject(-1, STANDIN_STARTS_DELAYED);
+    for (int i = 0; i < JOBS; i++) {
+        char job_id[32];
+        g_snprintf(job_id, sizeof job_id, "req-10%03d", i);
+        struct cluster_job job = {job_id, team, "batch", "high", 1, 0.1, 0, NULL};
+        assert_int_equal(cluster_submit(0, &job), 201);
+        clock_sleep(clock_from_seconds(0.1));
+    }
+    clock_sleep(clock_from_seconds(STANDIN_RESPONSE_DELAY_S));
+    standin_workers_inject(-1, STANDIN_HEALTHY);
+    assert_true(pair_wait_for_job_state("req-10059", "done", 30));
+    assert_true(standin_workers_delayed_responses() > 0);
+    assert_int_equal(standin_workers_starts_by_prefix("req-10"), JOBS);
+}
+
 static const struct {
     const char *name;
     void (*run)(void);
@@ -409,6 +430,7 @@
     {"all_controllers_down", all_controllers_down, 0},
     {"stop_not_obeyed", stop_not_obeyed, 0},
     {"machine_without_record", machine_without_record, 0},
+    {"late_response_does_not_restart_a_task", late_response_does_not_restart_a_task, 0},
 };
 static size_t row;
 
@@ -417,6 +439,7 @@
     assert_true(pair_restart_with_leader(rows[row].leader));
     rows[row].run();
     assert_int_equal(standin_workers_most_copies(), 1);
+    assert_int_equal(standin_workers_restarts(), 0);
     assert_int_equal(standin_cloud_claims_reused(), 0);
     assert_int_equal(standin_store_unguarded_changes(), 0);
 }
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -29,6 +29,7 @@
     worker->alive = true;
     worker->last_answer = clock_now();
     worker->incarnation = 1;
+    worker->started = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     worker->tasks = g_array_new(FALSE, FALSE, sizeof(struct standin_task));
 }
 
@@ -120,6 +121,10 @@
     return -1;
 }
 
+bool standin_worker_would_start(const struct standin_worker *worker, const struct standin_directive *directive) {
+    return strcmp(directive->verb, "run") == 0 && find_task(worker, directive) < 0;
+}
+
 static void start_task(struct standin_worker *worker, const struct standin_directive *directive, double fetch_s) {
     struct standin_task task = {.attempt = directive->attempt,
                                 .started = clock_now(),
@@ -127,16 +132,18 @@
                                 .fetch_s = fetch_s};
     g_strlcpy(task.name, directive->task, sizeof task.name);
     g_array_append_val(worker->tasks, task);
+    char *attempt = g_strdup_printf("%s:%lld", task.name, (long long)task.attempt);
+    worker->restarts += !g_hash_table_add(worker->started, attempt);
     log_start(&task);
 }
 
 bool standin_worker_execute(struct standin_worker *worker, const struct standin_directive *directive, double fetch_s) {
-    int index = find_task(worker, directive);
-    struct standin_task *task = index < 0 ? NULL : &g_array_index(worker->tasks, struct standin_task, index);
-    if (strcmp(directive->verb, "run") == 0 && !task) {
+    if (standin_worker_would_start(worker, directive)) {
         start_task(worker, directive, fetch_s);
         return true;
     }
+    int index = find_task(worker, directive);
+    struct standin_task *task = index < 0 ? NULL : &g_array_index(worker->tasks, struct standin_task, index);
     if (strcmp(directive->verb, "stop") == 0 && task && !task->ended && worker->fault != STANDIN_IGNORES_STOPS) {
         end_task(task, "stopped");
     } else if (strcmp(directive->verb, "forget") == 0 && task && task->ended) {
--- a/tests/standin/worker.h
+++ b/tests/standin/worker.h
@@ -33,7 +33,9 @@
     int controller; /* index of the controller that gets its heartbeats */
     struct timespec last_answer;
     int64_t incarnation, sequence, fencing_token;
-    GArray *tasks; /* struct standin_task; an ended task stays until a forget directive */
+    GHashTable *started; /* set of the attempts that were started here, as TASK:ATTEMPT */
+    int restarts;        /* number of starts of attempts that had been started here before */
+    GArray *tasks;       /* struct standin_task; an ended task stays until a forget directive */
 };
 
 /* Initialises a rented machine without tasks, in its first incarnation. */
@@ -55,6 +57,8 @@
     int64_t attempt;
 };
 struct standin_directive standin_directive_read(const cJSON *object);
+/* Whether the directive starts an attempt that the machine does not have in any state. */
+bool standin_worker_would_start(const struct standin_worker *worker, const struct standin_directive *directive);
 /* Executes a directive. Returns true if it started a task; fetching its image takes fetch_s. */
 bool standin_worker_execute(struct standin_worker *worker, const struct standin_directive *directive, double fetch_s);
 
--- a/tests/standin/worker_messages.c
+++ b/tests/standin/worker_messages.c
@@ -59,11 +59,19 @@
     return applied;
 }
 
-int worker_count_directives(struct machine *machine, const char *verb) {
-    cJSON *directives = directives_build(machine, CHANNEL_HEARTBEAT);
+static int count_directives(struct machine *machine, const char *verb, enum worker_channel channel) {
+    cJSON *directives = directives_build(machine, channel);
     const cJSON *item;
     int count = 0;
     cJSON_ArrayForEach(item, directives) count += strcmp(json_get_string(item, "verb"), verb) == 0;
     cJSON_Delete(directives);
     return count;
 }
+
+int worker_count_directives(struct machine *machine, const char *verb) {
+    return count_directives(machine, verb, CHANNEL_HEARTBEAT);
+}
+
+int worker_count_command_directives(struct machine *machine, const char *verb) {
+    return count_directives(machine, verb, CHANNEL_COMMAND);
+}
--- a/tests/standin/worker_messages.h
+++ b/tests/standin/worker_messages.h
@@ -33,4 +33,6 @@
                           const char *tasks, enum worker_channel channel);
 /* Number of directives with this verb in the response to a heartbeat. */
 int worker_count_directives(struct machine *machine, const char *verb);
+/* Number of directives with this verb in a command. */
+int worker_count_command_directives(struct machine *machine, const char *verb);
 #endif
--- a/tests/standin/workers.c
+++ b/tests/standin/workers.c
@@ -62,7 +62,7 @@
     const char *fetch_prefix;
     double fetch_s;
     GHashTable *starts_of; /* task -> struct task_starts */
-    int starts, most_copies, peak;
+    int starts, most_copies, peak, delayed_responses;
     const char *peak_prefix;
 } workers = {.lock = PTHREAD_MUTEX_INITIALIZER, .first_port = FIRST_PORT, .lease_s = NO_LEASE_S};
 
@@ -131,7 +131,8 @@
 }
 
 static bool receives_commands(const struct standin_worker *worker) {
-    return worker->alive && !workers.unreachable && !worker->unreachable && worker->fault < STANDIN_CANNOT_RECEIVE;
+    return worker->alive && !workers.unreachable && !worker->unreachable &&
+           (worker->fault < STANDIN_CANNOT_RECEIVE || worker->fault == STANDIN_STARTS_DELAYED);
 }
 
 /* Keeps a command until the machine's fault ends. It is executed then even if the controller that sent it is gone. */
@@ -155,6 +156,13 @@
     }
 }
 
+static bool has_fault(const struct standin_worker *worker, enum standin_worker_fault fault) {
+    pthread_mutex_lock(&workers.lock);
+    bool has = worker->fault == fault;
+    pthread_mutex_unlock(&workers.lock);
+    return has;
+}
+
 /* Handles a controller's command, on the thread of the machine's HTTP server. */
 static void on_command(struct http_request *request, void *ctx) {
     struct standin_worker *worker = ctx;
@@ -162,6 +170,7 @@
     const char *body = http_body(request, &length);
     cJSON *command = cJSON_ParseWithLength(body, length), *heartbeat = NULL;
     bool accepted = false;
+    if (has_fault(worker, STANDIN_STARTS_DELAYED)) clock_sleep(clock_from_seconds(STANDIN_COMMAND_DELAY_S));
     pthread_mutex_lock(&workers.lock);
     if (receives_commands(worker)) {
         accepted = execute_command(worker, command);
@@ -249,6 +258,20 @@
     }
 }
 
+/* Returns whether the response is delayed: it has the fault STANDIN_STARTS_DELAYED and brings a new start. */
+static bool delays_response(const struct standin_worker *worker, const cJSON *answer) {
+    const cJSON *entry;
+    bool delays = false;
+    pthread_mutex_lock(&workers.lock);
+    cJSON_ArrayForEach(entry, cJSON_GetObjectItem(answer, "orders")) {
+        struct standin_directive directive = standin_directive_read(entry);
+        delays |= worker->fault == STANDIN_STARTS_DELAYED && standin_worker_would_start(worker, &directive);
+    }
+    workers.delayed_responses += delays;
+    pthread_mutex_unlock(&workers.lock);
+    return delays;
+}
+
 static void send_heartbeat(struct http_client *client, struct standin_worker *worker,
                            const struct heartbeat *heartbeat) {
     long status = 0;
@@ -256,6 +279,7 @@
     struct timespec sent_at = clock_now();
     enum http_outcome outcome =
         http_call(client, "POST", heartbeat->url, heartbeat->text, HEARTBEAT_TIMEOUT_MS, &status, &answer);
+    if (delays_response(worker, answer)) clock_sleep(clock_from_seconds(STANDIN_RESPONSE_DELAY_S));
     pthread_mutex_lock(&workers.lock);
     handle_answer(worker, heartbeat, sent_at, outcome == HTTP_ANSWERED ? status : 0, answer);
     pthread_mutex_unlock(&workers.lock);
@@ -483,6 +507,21 @@
     return count;
 }
 
+int standin_workers_restarts(void) {
+    int restarts = 0;
+    pthread_mutex_lock(&workers.lock);
+    for (int i = 0; i < workers.n_machines; i++) restarts += workers.machines[i].restarts;
+    pthread_mutex_unlock(&workers.lock);
+    return restarts;
+}
+
+int standin_workers_delayed_responses(void) {
+    pthread_mutex_lock(&workers.lock);
+    int delayed = workers.delayed_responses;
+    pthread_mutex_unlock(&workers.lock);
+    return delayed;
+}
+
 struct timespec standin_workers_first_start(const char *task) {
     pthread_mutex_lock(&workers.lock);
     const struct task_starts *starts = g_hash_table_lookup(workers.starts_of, task);
--- a/tests/standin/workers.h
+++ b/tests/standin/workers.h
@@ -31,6 +31,9 @@
 /* Number of machines that were added. */
 int standin_workers_added(void);
 
+#define STANDIN_COMMAND_DELAY_S 0.3
+#define STANDIN_RESPONSE_DELAY_S 2.5 /* a worker drops a response 4 s after it sent the heartbeat */
+
 /* Faults of a machine, or of its network. */
 enum standin_worker_fault {
     STANDIN_HEALTHY,
@@ -39,6 +42,8 @@
     STANDIN_CANNOT_RECEIVE,   /* heartbeats arrive; their answers and commands are lost */
     STANDIN_COMMANDS_DELAYED, /* heartbeats work; commands get an error and are executed when the fault ends */
     STANDIN_HANGS,            /* sends nothing; commands get an error and are executed when the fault ends */
+    STANDIN_STARTS_DELAYED,   /* commands arrive STANDIN_COMMAND_DELAY_S late; responses to heartbeats that bring a new
+                                 start arrive STANDIN_RESPONSE_DELAY_S late */
     STANDIN_PARTITIONED       /* sends heartbeats to the first controller only; commands are lost */
 };
 /* Replaces the machine's fault; index -1: the faults of all machines. */
@@ -67,6 +72,10 @@
 /* Number of task starts so far: of all tasks, and of tasks with this prefix. */
 int standin_workers_starts(void);
 int standin_workers_starts_by_prefix(const char *prefix);
+/* Number of starts of an attempt on a machine on which the same attempt had been started before. */
+int standin_workers_restarts(void);
+/* Number of responses to heartbeats that were delayed by STANDIN_STARTS_DELAYED. */
+int standin_workers_delayed_responses(void);
 /* When the task was first started; zero: never. */
 struct timespec standin_workers_first_start(const char *task);
 /* Restarts the measurement of the highest number of tasks with this prefix that all machines together hold at the same
