--- a/src/model/allocation.h
+++ b/src/model/allocation.h
@@ -22,6 +22,20 @@
     TASK_ENDED
 };
 
+/* Why a task has ended or its start was refused, as its machine's agent gives it. */
+enum task_end_cause {
+    TASK_END_NOT_GIVEN, /* the agent gives no cause, or one that this version does not know */
+    TASK_END_DONE,
+    TASK_END_STOPPED,
+    TASK_END_GANG_LOST,       /* another task of its gang is gone */
+    TASK_END_GANG_INCOMPLETE, /* its gang was not complete in time */
+    TASK_END_FAILED,
+    TASK_END_NO_ROOM,      /* refused: too few free resources on the machine */
+    TASK_END_BUSY,         /* refused: the task is on the machine under another attempt */
+    TASK_END_UNKNOWN_TASK, /* refused: the agent does not know the job or the task */
+    TASK_END_CAUSES
+};
+
 /* One start of a task on a machine. The allocations package owns it, and frees it when its record no longer names it.
  */
 struct allocation {
--- a/src/workers/codec.c
+++ b/src/workers/codec.c
@@ -22,6 +22,18 @@
     [TASK_ENDED] = "ended",
 };
 
+static const char *const task_cause_names[TASK_END_CAUSES] = {
+    [TASK_END_NOT_GIVEN] = "?",
+    [TASK_END_DONE] = "done",
+    [TASK_END_STOPPED] = "stopped",
+    [TASK_END_GANG_LOST] = "peers",
+    [TASK_END_GANG_INCOMPLETE] = "incomplete",
+    [TASK_END_FAILED] = "error",
+    [TASK_END_NO_ROOM] = "no_room",
+    [TASK_END_BUSY] = "busy",
+    [TASK_END_UNKNOWN_TASK] = "unknown",
+};
+
 struct heartbeat codec_read_heartbeat(const cJSON *message) {
     struct heartbeat heartbeat = {
         .machine_id = json_get_string(message, "host"),
@@ -56,7 +68,14 @@
     return TASK_RUNNING;
 }
 
-const char *codec_read_task_cause(const cJSON *item) { return json_get_string(item, "cause"); }
+enum task_end_cause codec_read_task_cause(const cJSON *item) {
+    const char *name = json_get_string(item, "cause");
+    for (size_t i = TASK_END_DONE; name && i < TASK_END_CAUSES; i++)
+        if (strcmp(name, task_cause_names[i]) == 0) return (enum task_end_cause)i;
+    return TASK_END_NOT_GIVEN;
+}
+
+const char *codec_task_cause_name(enum task_end_cause cause) { return task_cause_names[cause]; }
 
 const char *codec_directive_name(enum directive_kind kind) { return directive_names[kind]; }
 
--- a/src/workers/codec.h
+++ b/src/workers/codec.h
@@ -35,8 +35,10 @@
 /* Returns the task's state. If the state is absent or unknown to this version, returns TASK_RUNNING, since the task may
  * run. */
 enum task_state codec_read_task_state(const cJSON *item);
-/* Returns the cause of the task's end, or NULL if it is absent. */
-const char *codec_read_task_cause(const cJSON *item);
+/* Returns the cause of the task's end. */
+enum task_end_cause codec_read_task_cause(const cJSON *item);
+/* Returns the protocol's name of the cause, or "?" if none was given. */
+const char *codec_task_cause_name(enum task_end_cause cause);
 
 /* DIRECTIVE_FORGET removes an attempt that has ended from the worker's list of tasks. */
 enum directive_kind { DIRECTIVE_RUN, DIRECTIVE_STOP, DIRECTIVE_FORGET };
--- a/src/workers/listed_tasks.c
+++ b/src/workers/listed_tasks.c
@@ -12,8 +12,8 @@
 #include "directives.h"
 
 #define SERVICE_SUCCESS_S 30.0 /* a service replica that runs longer than this counts as a success of its job */
-/* Delays until a job is retried whose task ended for a cause unknown to the worker, or found no room on the machine. */
-#define UNKNOWN_CAUSE_RETRY_DELAY_S 3.0
+/* Delays until a job is retried whose task the worker does not know, or that found no room on the machine. */
+#define UNKNOWN_TASK_RETRY_DELAY_S 3.0
 #define NO_ROOM_RETRY_DELAY_S 1.0
 
 /* Returns the separator before the index in the task's name JOB/INDEX, or NULL if the name has none. */
@@ -92,24 +92,30 @@
     quarantine_record_success(job);
 }
 
-/* cause is NULL if the worker gave none. */
-static void handle_failure(const struct allocation *allocation, const char *cause) {
+static void handle_failure(const struct allocation *allocation, enum task_end_cause cause) {
     struct job *job = allocation->job;
     log_debug("task %s/%d on %s ended: %s", job->spec.job_id, allocation->task, allocation->machine->id,
-              cause ? cause : "?");
-    if (!cause || job->state != JOB_QUEUED) return;
-    if (strcmp(cause, "error") == 0) {
-        log_info("task %s/%d failed on machine %s", job->spec.job_id, allocation->task, allocation->machine->id);
-        quarantine_record_failure(job, allocation->machine);
-    } else if (strcmp(cause, "unknown") == 0) {
-        job->retry_at = clock_now_plus(clock_from_seconds(UNKNOWN_CAUSE_RETRY_DELAY_S));
-    } else if (strcmp(cause, "no_room") == 0 || strcmp(cause, "busy") == 0) {
-        job->retry_at = clock_now_plus(clock_from_seconds(NO_ROOM_RETRY_DELAY_S));
+              codec_task_cause_name(cause));
+    if (job->state != JOB_QUEUED) return;
+    switch (cause) {
+        case TASK_END_FAILED:
+            log_info("task %s/%d failed on machine %s", job->spec.job_id, allocation->task, allocation->machine->id);
+            quarantine_record_failure(job, allocation->machine);
+            break;
+        case TASK_END_UNKNOWN_TASK:
+            job->retry_at = clock_now_plus(clock_from_seconds(UNKNOWN_TASK_RETRY_DELAY_S));
+            break;
+        case TASK_END_NO_ROOM:
+        case TASK_END_BUSY:
+            job->retry_at = clock_now_plus(clock_from_seconds(NO_ROOM_RETRY_DELAY_S));
+            break;
+        default:
+            break;
     }
 }
 
 /* Applies the task's listed state to its allocation. Returns true if that released the allocation. */
-static bool apply_state(struct allocation *allocation, enum task_state state, const char *cause) {
+static bool apply_state(struct allocation *allocation, enum task_state state, enum task_end_cause cause) {
     const struct job_spec *spec = &allocation->job->spec;
     struct machine *machine = allocation->machine;
     bool state_changed = allocation->state != state;
@@ -124,7 +130,7 @@
         g_hash_table_add(machine->images, g_strdup(spec->image));
     if (state != TASK_ENDED || allocation->released) return false;
     release(allocation);
-    if (cause && strcmp(cause, "done") == 0) {
+    if (cause == TASK_END_DONE) {
         handle_success(allocation);
     } else {
         handle_failure(allocation, cause);
