--- a/src/workers/listed_tasks.c
+++ b/src/workers/listed_tasks.c
@@ -148,9 +148,10 @@
         enum task_state state = codec_read_task_state(item);
         struct allocation *allocation = listed_tasks_find(machine, &task);
         if (!allocation) {
-            if (state != TASK_ENDED)
+            if (state != TASK_ENDED) {
                 log_info("machine %s: task %s attempt %lld is on it without an allocation, stopping it", machine->id,
                          task.name, (long long)task.attempt);
+            }
             add_unknown(machine, &task, state == TASK_ENDED);
             continue;
         }
