Log every start, stop, forget and release with its token, message and read of the store

At level info there is now one line for each message with directives (all runs, stops and forgets by attempt, the token they go under, the token that the worker has shown, the message that they answer, and the age of the last read of the store), one for each release with its reason and the message that proved it, one for a machine whose confirmed return releases its tasks. A takeover names the age of the read, and the first line of a process the revision of its sources. No behaviour changes.

--- a/src/machines/machines.c
+++ b/src/machines/machines.c
@@ -92,6 +92,8 @@
 
 /* Releases all allocations of a machine whose return the cloud has confirmed. */
 static void release_allocations(struct machine *machine) {
+    if (machine->allocations->len > 0)
+        log_info("machine %s: returned, %u allocations on it are released", machine->id, machine->allocations->len);
     for (guint i = 0; i < machine->allocations->len; i++) {
         struct allocation *allocation = machine->allocations->pdata[i];
         allocation->released = true;
--- a/src/main.c
+++ b/src/main.c
@@ -9,6 +9,9 @@
 #include "settings/settings.h"
 
 #define VERSION "0.1.0"
+#ifndef FF_REVISION /* the source's revision, set by the build */
+#define FF_REVISION "unknown"
+#endif
 #define STATUS_INTERVAL_S 10
 
 /* Exit statuses. */
@@ -45,7 +48,7 @@
 /* Runs until the process is killed. Returns an exit status only if it cannot listen. */
 static int run(const struct settings *settings) {
     logging_init(getenv("LOG_LEVEL"));
-    log_info("fieldfield " VERSION " on %s", settings->node);
+    log_info("fieldfield " VERSION " (revision " FF_REVISION ") on %s", settings->node);
     service_init(settings);
     if (!service_start(settings)) {
         fprintf(stderr, "fieldfield: bind or cluster_listen: cannot listen\n");
--- a/src/scheduler/run_round.c
+++ b/src/scheduler/run_round.c
@@ -21,7 +21,8 @@
     state->attempt_counter = 0;
     state->barrier_pending = false;
     state->owned_since = clock_now();
-    log_info("shard %d: owned under fencing token %lld", shard, (long long)fencing_token);
+    log_info("shard %d: owned under fencing token %lld, last read of the store %.2f s ago", shard,
+             (long long)fencing_token, clock_seconds_since(store_last_read_sent()));
 }
 
 /* Called with store_lock held. Returns whether a prerequisite has completed but is not recorded as done. Its dependents
--- a/src/workers/codec.c
+++ b/src/workers/codec.c
@@ -77,8 +77,6 @@
 
 const char *codec_task_cause_name(enum task_end_cause cause) { return task_cause_names[cause]; }
 
-const char *codec_directive_name(enum directive_kind kind) { return directive_names[kind]; }
-
 void codec_add_directive(cJSON *directives, const struct directive *directive) {
     cJSON *item = cJSON_CreateObject();
     cJSON_AddStringToObject(item, KEY_DIRECTIVE_KIND, directive_names[directive->kind]);
@@ -88,6 +86,16 @@
     cJSON_AddItemToArray(directives, item);
 }
 
+char *codec_describe_directives(const cJSON *directives) {
+    GString *text = g_string_new(NULL);
+    const cJSON *item;
+    cJSON_ArrayForEach(item, directives) {
+        g_string_append_printf(text, "%s%s %s@%.0f", text->len ? ", " : "", json_get_string(item, KEY_DIRECTIVE_KIND),
+                               json_get_string(item, KEY_TASK), json_get_double(item, KEY_ATTEMPT, 0));
+    }
+    return g_string_free(text, FALSE);
+}
+
 bool codec_has_start(const cJSON *directives) {
     const cJSON *item;
     cJSON_ArrayForEach(item, directives) {
--- a/src/workers/codec.h
+++ b/src/workers/codec.h
@@ -51,10 +51,10 @@
     double grace_s; /* DIRECTIVE_STOP: time in which the task may save its state */
 };
 
-/* Returns the protocol's name of this kind of directive. */
-const char *codec_directive_name(enum directive_kind kind);
 /* Appends the directive's JSON to the list. */
 void codec_add_directive(cJSON *directives, const struct directive *directive);
+/* Returns the directives as text for the log, "VERB TASK@ATTEMPT, ...", which the caller frees with g_free. */
+char *codec_describe_directives(const cJSON *directives);
 /* Returns whether the list contains a directive that starts a task. */
 bool codec_has_start(const cJSON *directives);
 
--- a/src/workers/directives.c
+++ b/src/workers/directives.c
@@ -4,10 +4,12 @@
 #include <stdbool.h>
 #include <stdio.h>
 
+#include "../clock/clock.h"
 #include "../dependencies/dependencies.h"
 #include "../logging/logging.h"
 #include "../machines/machines.h"
 #include "../membership/membership.h"
+#include "../store/store.h"
 #include "codec.h"
 
 bool directives_awaits_start(const struct allocation *allocation) {
@@ -45,14 +47,14 @@
     snprintf(name, n, "%s/%d", allocation->job->spec.job_id, allocation->task);
 }
 
-/* Appends the directive to the list of those that the machine is sent over the channel. */
-static void add_directive(const struct machine *machine, enum worker_channel channel, cJSON *directives,
-                          const struct directive *directive) {
-    log_debug("machine %s: sending %s of task %s attempt %lld %s %lld, token %lld", machine->id,
-              codec_directive_name(directive->kind), directive->task, (long long)directive->attempt,
-              channel == CHANNEL_HEARTBEAT ? "in the response to heartbeat" : "by command after message",
-              (long long)machine->agent.sequence, (long long)machines_fencing_token(machine));
-    codec_add_directive(directives, directive);
+static void log_directives(const struct machine *machine, enum worker_channel channel, const cJSON *directives) {
+    if (cJSON_GetArraySize(directives) == 0) return;
+    g_autofree char *text = codec_describe_directives(directives);
+    log_info("machine %s: %s %lld/%lld, token %lld, worker shows %lld, last read of the store %.2f s ago: %s",
+             machine->id, channel == CHANNEL_HEARTBEAT ? "response to heartbeat" : "command after message",
+             (long long)machine->agent.incarnation, (long long)machine->agent.sequence,
+             (long long)machines_fencing_token(machine), (long long)machine->agent.reported_token,
+             clock_seconds_since(store_last_read_sent()), text);
 }
 
 void directives_add_unknown_stops(const struct machine *machine, cJSON *directives) {
@@ -72,14 +74,13 @@
 }
 
 /* Adds directives for tasks without an allocation: a stop, or a forget if the attempt has ended. */
-static void add_for_unknown_tasks(const struct machine *machine, bool shows_token, enum worker_channel channel,
-                                  cJSON *directives) {
+static void add_for_unknown_tasks(const struct machine *machine, bool shows_token, cJSON *directives) {
     bool forgets = may_forget(machine, shows_token);
     for (guint i = 0; i < machine->agent.unknown_tasks->len && i < MACHINE_TASKS_MAX; i++) {
         const struct unknown_task *unknown = &g_array_index(machine->agent.unknown_tasks, struct unknown_task, i);
         if (unknown->ended && !forgets) continue;
         enum directive_kind kind = unknown->ended ? DIRECTIVE_FORGET : DIRECTIVE_STOP;
-        add_directive(machine, channel, directives, &(struct directive){kind, unknown->task_name, unknown->attempt, 0});
+        codec_add_directive(directives, &(struct directive){kind, unknown->task_name, unknown->attempt, 0});
     }
 }
 
@@ -97,10 +98,10 @@
     directives_task_name(allocation, task, sizeof task);
     if (allocation->stop_requested) {
         struct directive stop = {DIRECTIVE_STOP, task, allocation->attempt, allocation->grace_s};
-        if (stop_due(allocation, channel)) add_directive(machine, channel, directives, &stop);
+        if (stop_due(allocation, channel)) codec_add_directive(directives, &stop);
         allocation->stop_sent = true;
     } else if (may_start && directives_awaits_start(allocation)) {
-        add_directive(machine, channel, directives, &(struct directive){DIRECTIVE_RUN, task, allocation->attempt, 0});
+        codec_add_directive(directives, &(struct directive){DIRECTIVE_RUN, task, allocation->attempt, 0});
         if (channel == CHANNEL_HEARTBEAT) {
             allocation->starts_sent++;
             note_response_start(machine);
@@ -114,10 +115,11 @@
     cJSON *directives = cJSON_CreateArray();
     bool shows_token = machine->agent.reported_token >= machines_fencing_token(machine);
     bool may_start = membership_may_start_tasks();
-    add_for_unknown_tasks(machine, shows_token, channel, directives);
+    add_for_unknown_tasks(machine, shows_token, directives);
     for (guint i = 0; shows_token && i < machine->allocations->len && i < MACHINE_TASKS_MAX; i++) {
         struct allocation *allocation = machine->allocations->pdata[i];
         if (!allocation->released) add_for_allocation(allocation, may_start, channel, directives);
     }
+    log_directives(machine, channel, directives);
     return directives;
 }
--- a/src/workers/listed_tasks.c
+++ b/src/workers/listed_tasks.c
@@ -80,7 +80,12 @@
              clock_seconds_since(allocation->allocated_at), cached ? "cached" : "fetched");
 }
 
-static void release(struct allocation *allocation) {
+/* Logs the release with its reason and the latest message of the worker, which proves it. */
+static void release(struct allocation *allocation, const char *reason) {
+    const struct machine_agent *agent = &allocation->machine->agent;
+    log_info("task %s/%d attempt %lld on machine %s is released: %s, by message %lld/%lld under token %lld",
+             allocation->job->spec.job_id, allocation->task, (long long)allocation->attempt, allocation->machine->id,
+             reason, (long long)agent->incarnation, (long long)agent->sequence, (long long)agent->reported_token);
     allocation->released = true;
     chunks_mark_dirty(allocation->job, allocation->task);
 }
@@ -94,8 +99,6 @@
 
 static void handle_failure(const struct allocation *allocation, enum task_end_cause cause) {
     struct job *job = allocation->job;
-    log_debug("task %s/%d on %s ended: %s", job->spec.job_id, allocation->task, allocation->machine->id,
-              codec_task_cause_name(cause));
     if (job->state != JOB_QUEUED) return;
     switch (cause) {
         case TASK_END_FAILED:
@@ -129,7 +132,7 @@
     if ((state == TASK_RUNNING || state == TASK_WAITING_FOR_GANG) && spec->image)
         g_hash_table_add(machine->images, g_strdup(spec->image));
     if (state != TASK_ENDED || allocation->released) return false;
-    release(allocation);
+    release(allocation, codec_task_cause_name(cause));
     if (cause == TASK_END_DONE) {
         handle_success(allocation);
     } else {
@@ -176,9 +179,7 @@
     for (guint i = 0; i < machine->allocations->len && i < LISTED_TASKS_ALLOCATIONS_MAX; i++) {
         struct allocation *allocation = machine->allocations->pdata[i];
         if (listed[i] || allocation->released || !proven_absent(allocation, gang_start_s)) continue;
-        log_info("task %s/%d attempt %lld is absent from machine %s", allocation->job->spec.job_id, allocation->task,
-                 (long long)allocation->attempt, machine->id);
-        release(allocation);
+        release(allocation, "not listed");
         any_released = true;
     }
     return any_released;
