--- a/rehearsal/play.c
+++ b/rehearsal/play.c
@@ -22,6 +22,7 @@
 #define RECORD_POLL_S 0.05
 #define STEP_POLL_S 0.01
 #define BURST_JOB_TASKS_MAX 4
+#define COPY_EFFECT_S 0.5 /* by then, a task that the last copy starts is running */
 
 /* The state of one run. */
 struct play {
@@ -226,10 +227,22 @@
     return started;
 }
 
+/* Checks that no attempt was started twice on a machine, although commands were copied. */
+static bool check_attempts(const struct play *play) {
+    struct standin_copy_counts copies = standin_workers_command_copies();
+    int restarts = standin_workers_restarts();
+    print_event(play, "copies of commands: %d carried out, %d refused", copies.carried_out, copies.refused);
+    if (restarts > 0) print_event(play, "FAIL: attempts were started %d times again", restarts);
+    bool copied = play->scenario->copies_within_s <= 0 || copies.carried_out + copies.refused > 0;
+    if (!copied) print_event(play, "FAIL: no command was copied");
+    return restarts == 0 && copied;
+}
+
 /* Checks the history of tasks, and prints the figures of each team and the failed checks. */
 static bool check_history(const struct play *play, struct play_result *out) {
     bool passed = history_duplicate_starts(history_log()) == 0;
     if (!passed) print_event(play, "FAIL: a task was on two machines");
+    passed &= check_attempts(play);
     for (int i = 0; i < play->scenario->n_teams; i++) {
         const struct scenario_team *team = &play->scenario->teams[i];
         double peak = history_peak_gpus(history_log(), team->name), starved = 0;
@@ -272,6 +285,8 @@
     bool passed = start_cluster(&play, program, undivided);
     if (!passed) printf("FAIL: the controllers did not start, or the shards or teams weren't ready in time\n");
     play.started_at = history_now();
+    if (scenario->copies_within_s > 0)
+        standin_workers_copy_commands(&(struct standin_copy_delay){0, scenario->copies_within_s, seed});
     int before[2] = {passed ? standin_store_revision() : 0, passed ? standin_store_requests() : 0};
     for (int i = 0; passed && i < scenario->n_steps; i++) {
         while (history_now() - play.started_at < scenario->steps[i].at_s) clock_sleep(clock_from_seconds(STEP_POLL_S));
@@ -280,6 +295,7 @@
     if (passed) {
         bool ended = wait_for_jobs(&play);
         measure(out, &play, play.started_at, history_now(), before);
+        if (scenario->copies_within_s > 0) clock_sleep(clock_from_seconds(scenario->copies_within_s + COPY_EFFECT_S));
         passed = check_history(&play, out) && ended && play.all_accepted;
     }
     cluster_teardown();
--- a/rehearsal/scenario.c
+++ b/rehearsal/scenario.c
@@ -168,6 +168,7 @@
     {"machines", FIELD_INTEGER, true, 1, 32, MEMBER_OFFSET(scenario, machines), NULL},
     {"starved_most", FIELD_NUMBER, true, 0, 600, MEMBER_OFFSET(scenario, starvation_limit_s), NULL},
     {"jobs_end_within", FIELD_NUMBER, true, 1, 600, MEMBER_OFFSET(scenario, jobs_end_within_s), NULL},
+    {"command_copies_within", FIELD_NUMBER, false, 0, 600, MEMBER_OFFSET(scenario, copies_within_s), NULL},
     {"teams", FIELD_LIST, true, 0, SCENARIO_TEAMS_MAX, 0, read_team},
     {"steps", FIELD_LIST, true, 0, SCENARIO_STEPS_MAX, 0, read_step},
     {NULL, FIELD_TEXT, false, 0, 0, 0, NULL},
--- a/rehearsal/scenario.h
+++ b/rehearsal/scenario.h
@@ -41,6 +41,7 @@
     int controllers, machines;
     double starvation_limit_s; /* the longest time that a team may be below its guarantee while it has work */
     double jobs_end_within_s;  /* after the last step */
+    double copies_within_s; /* each command with starts reaches its worker once more within this time; 0: none does */
     struct scenario_team teams[SCENARIO_TEAMS_MAX];
     int n_teams;
     struct scenario_step steps[SCENARIO_STEPS_MAX];
--- a/rehearsal/scenario_test.c
+++ b/rehearsal/scenario_test.c
@@ -17,6 +17,8 @@
     } rows[] = {
         {HEAD TEAM "steps = ( { at = 0, action = \"burst\", team = \"red\", count = 3 } )", NULL},
         {HEAD TEAM "steps = ( { at = 0.5, action = \"cut\", controller = 1 } )", NULL},
+        {HEAD TEAM "command_copies_within = 8.0\nsteps = ( )", NULL},
+        {HEAD TEAM "command_copies_within = -1.0\nsteps = ( )", "command_copies_within"},
         {HEAD TEAM "steps = ( { at = 0, action = \"burst\", team = \"red\" } )", "team"},
         {HEAD TEAM "steps = ( { at = 0, action = \"burst\", team = \"rot\", count = 3 } )", "team"},
         {HEAD TEAM "steps = ( { at = 0, action = \"explode\", controller = 1 } )", "action"},
--- a/src/machines/codec.c
+++ b/src/machines/codec.c
@@ -28,11 +28,16 @@
     ENTRY_FIELDS
 };
 
-enum entry_flag { ENTRY_SPOT = 1, ENTRY_RETURNING = 2 };
+enum entry_flag {
+    ENTRY_SPOT = 1,
+    ENTRY_RETURNING = 2,
+    ENTRY_TOKEN_RANGE = 4, /* the token begins a range; earlier versions neither read nor write this flag */
+};
 
 /* JSON members of a transfer record. */
 #define TRANSFER_SHARD "share"
 #define TRANSFER_FENCING_TOKEN "fence"
+#define TRANSFER_LAST_TOKEN "last" /* absent: the same as the first; earlier versions ignore it */
 #define TRANSFER_ADDRESS "address"
 #define TRANSFER_TYPE_NAME "flavour"
 #define TRANSFER_ZONE "site"
@@ -81,6 +86,8 @@
     };
     if (cJSON_IsNumber(fields[ENTRY_FENCING_TOKEN]))
         record->fencing_token = (int64_t)fields[ENTRY_FENCING_TOKEN]->valuedouble;
+    record->last_token =
+        flags & ENTRY_TOKEN_RANGE ? token_range_of_grant(record->fencing_token).last : record->fencing_token;
     if (cJSON_IsNumber(fields[ENTRY_CREATED_AT])) record->created_at = fields[ENTRY_CREATED_AT]->valuedouble;
     return true;
 }
@@ -106,6 +113,7 @@
         .created_at = json_get_double(data, TRANSFER_CREATED_AT, 0),
     };
     json_get_int64(data, TRANSFER_FENCING_TOKEN, &record->fencing_token);
+    if (!json_get_int64(data, TRANSFER_LAST_TOKEN, &record->last_token)) record->last_token = record->fencing_token;
     return MACHINE_TRANSFER_OK;
 }
 
@@ -156,7 +164,8 @@
                              GHashTable *images) {
     char image_indices[IMAGE_INDICES_SIZE] = "";
     if (images) write_image_indices(writer, images, image_indices, sizeof image_indices);
-    int flags = (record->spot ? ENTRY_SPOT : 0) + (record->returning ? ENTRY_RETURNING : 0);
+    int flags = (record->spot ? ENTRY_SPOT : 0) + (record->returning ? ENTRY_RETURNING : 0) +
+                (record->last_token > record->fencing_token ? ENTRY_TOKEN_RANGE : 0);
     cJSON *const fields[ENTRY_FIELDS] = {
         [ENTRY_ID] = cJSON_CreateString(record->id),
         [ENTRY_ADDRESS] = cJSON_CreateString(record->address),
@@ -183,6 +192,8 @@
     cJSON *value = cJSON_CreateObject();
     cJSON_AddNumberToObject(value, TRANSFER_SHARD, shard);
     cJSON_AddNumberToObject(value, TRANSFER_FENCING_TOKEN, (double)record->fencing_token);
+    if (record->last_token > record->fencing_token)
+        cJSON_AddNumberToObject(value, TRANSFER_LAST_TOKEN, (double)record->last_token);
     cJSON_AddStringToObject(value, TRANSFER_ADDRESS, record->address);
     cJSON_AddStringToObject(value, TRANSFER_TYPE_NAME, record->type_name);
     cJSON_AddStringToObject(value, TRANSFER_ZONE, record->zone);
--- a/src/machines/codec.h
+++ b/src/machines/codec.h
@@ -18,6 +18,7 @@
     bool spot;
     bool returning; /* the machine is being returned to the cloud; not in transfer records */
     int64_t fencing_token;
+    int64_t last_token;        /* the last token of the range that fencing_token begins */
     double created_at;         /* time of day; written in whole seconds */
     const char *image_indices; /* only when read from a page: for machine_page_read_images */
 };
--- a/src/machines/machines.c
+++ b/src/machines/machines.c
@@ -57,6 +57,7 @@
     g_strlcpy(machine->id, id, sizeof machine->id);
     machine->allocations = g_ptr_array_new();
     machine->agent.unknown_tasks = g_array_new(FALSE, FALSE, sizeof(struct unknown_task));
+    machine->commands.pending_starts = g_array_new(FALSE, FALSE, sizeof(struct pending_start));
     machine->images = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     machine->liveness.preemption_notice_s = -1;
     machine->shard = machine->rebalance.target_shard = machine->page = machine->round.next_page = -1;
@@ -85,6 +86,7 @@
     g_ptr_array_remove_fast(registry.all, machine);
     g_ptr_array_free(machine->allocations, TRUE);
     g_array_free(machine->agent.unknown_tasks, TRUE);
+    g_array_free(machine->commands.pending_starts, TRUE);
     g_hash_table_destroy(machine->images);
     if (machine->failed_jobs) g_ptr_array_free(machine->failed_jobs, TRUE);
     g_free(machine);
@@ -144,9 +146,33 @@
 
 /* ---- ownership ---- */
 
-int64_t machines_fencing_token(const struct machine *machine) {
-    return machine->shard < 0 ? machine->fencing_token
-                              : MAX(machine->fencing_token, membership_shard(machine->shard)->fencing_token);
+struct token_range machines_tokens(const struct machine *machine) {
+    struct token_range own = {machine->fencing_token, machine->last_token};
+    if (machine->shard < 0) return own;
+    const struct membership_shard_state *shard = membership_shard(machine->shard);
+    return own.first > shard->fencing_token ? own : (struct token_range){shard->fencing_token, shard->last_token};
+}
+
+int64_t machines_fencing_token(const struct machine *machine) { return machines_tokens(machine).first; }
+
+int64_t machines_current_token(const struct machine *machine) {
+    struct token_range tokens = machines_tokens(machine);
+    int64_t raised = machine->commands.raised_token;
+    return token_range_contains(tokens, raised) ? raised : tokens.first;
+}
+
+bool machines_raise_token(struct machine *machine) {
+    int64_t current = machines_current_token(machine);
+    if (current >= machines_tokens(machine).last) return false;
+    machine->commands.raised_token = current + 1;
+    machine->commands.token_raised_at = clock_now();
+    return true;
+}
+
+void machines_request_tokens(struct machine *machine) {
+    machine->commands.needs_token_raise = true;
+    machine->commands.token_raise_above = machines_current_token(machine);
+    events_publish(EVENT_SCHEDULE);
 }
 
 static void reset_allocation(struct allocation *allocation) {
@@ -174,7 +200,7 @@
     liveness->up = machine->allocations->len > 0;
 
     struct machine_commands *commands = &machine->commands;
-    commands->start_outcome_unknown = commands->needs_token_raise = false;
+    commands->start_outcome_unknown = commands->needs_token_raise = commands->release_needs_token_raise = false;
     commands->response_start_incarnation = commands->response_start_sequence = 0;
     commands->needs_token_probe = commands->send_pending = machine->address[0] != 0;
 
--- a/src/machines/machines.h
+++ b/src/machines/machines.h
@@ -49,8 +49,16 @@
 /* Tells whether this controller owns the machine's shard. The first call under a new fencing token of the shard resets
  * the state that was collected under the previous one. */
 bool machines_owned(struct machine *machine);
-/* Returns the fencing token under which directives are sent to the machine: the higher of its own and its shard's. */
+/* Returns the fencing tokens that its owner may use for the machine: the higher of its own range and its shard's. */
+struct token_range machines_tokens(const struct machine *machine);
+/* Returns the first of these tokens. A worker that has shown it carries out no directive of an earlier owner. */
 int64_t machines_fencing_token(const struct machine *machine);
+/* Returns the token under which the owner sends directives to the machine at present. */
+int64_t machines_current_token(const struct machine *machine);
+/* Raises the current token within the range. Returns false if the range is used up. */
+bool machines_raise_token(struct machine *machine);
+/* Requests a new range, which is granted with the next write of the machine's page. */
+void machines_request_tokens(struct machine *machine);
 /* Tells whether the machine is being returned to the cloud, or was returned. */
 bool machines_leaving(const struct machine *machine);
 /* Marks the machine as returned and releases its allocations. Called once the cloud has confirmed the return. */
--- a/src/machines/machines_test.c
+++ b/src/machines/machines_test.c
@@ -133,7 +133,8 @@
     /* The watch may deliver a transaction's changes in any order. Order 0: the transfer record first; 1: the page. */
     for (int order = 0; order < 2; order++) {
         machine->round.leaves_page = true;
-        cJSON *value = machines_page_value(1, page, &count), *transfer_record = machines_transfer_value(machine, 0, 77);
+        cJSON *value = machines_page_value(1, page, &count),
+              *transfer_record = machines_transfer_value(machine, 0, token_range_of_grant(77));
         if (order == 0) put("machine/i-000004", transfer_record);
         put(key.text, value);
         if (order == 1) put("machine/i-000004", transfer_record);
@@ -157,7 +158,7 @@
         /* Transfers the machine back. */
         machine->round.leaves_page = true;
         machine->round.next_page = -1;
-        put_and_free("machine/i-000004", machines_transfer_value(machine, 1, 78));
+        put_and_free("machine/i-000004", machines_transfer_value(machine, 1, token_range_of_grant(78)));
         put("fleet/0/0", NULL);
         machine = machines_find("i-000004");
         machine->round.leaves_page = false;
--- a/src/machines/records.c
+++ b/src/machines/records.c
@@ -26,6 +26,7 @@
     machine->spot = record->spot;
     machine->retirement.returning = record->returning;
     machine->fencing_token = record->fencing_token;
+    machine->last_token = record->last_token;
     machine->created_at = record->created_at;
     machine_page_read_images(page, record, machine->images);
 }
@@ -119,6 +120,7 @@
     struct machine *machine = machines_set_location(id, shard, -1);
     machine->placement_revision = mod_revision;
     machine->fencing_token = record->fencing_token;
+    machine->last_token = record->last_token;
     if (record->address && *record->address) g_strlcpy(machine->address, record->address, sizeof machine->address);
     if (record->type_name) g_strlcpy(machine->type_name, record->type_name, sizeof machine->type_name);
     if (record->zone) g_strlcpy(machine->zone, record->zone, sizeof machine->zone);
@@ -156,6 +158,8 @@
 /* ---- writing ---- */
 
 static struct machine_record record_of_machine(const struct machine *machine) {
+    bool is_raised = machine->round.next_fencing_token > machine->fencing_token;
+    struct token_range raised = token_range_of_grant(machine->round.next_fencing_token);
     return (struct machine_record){
         .id = machine->id,
         .address = machine->address,
@@ -163,7 +167,8 @@
         .zone = machine->zone,
         .spot = machine->spot,
         .returning = machine->retirement.returning || machine->retirement.return_wanted,
-        .fencing_token = MAX(machine->fencing_token, machine->round.next_fencing_token),
+        .fencing_token = is_raised ? raised.first : machine->fencing_token,
+        .last_token = is_raised ? raised.last : machine->last_token,
         .created_at = machine->created_at,
     };
 }
@@ -224,9 +229,10 @@
     return value;
 }
 
-cJSON *machines_transfer_value(const struct machine *machine, int shard, int64_t fencing_token) {
+cJSON *machines_transfer_value(const struct machine *machine, int shard, struct token_range tokens) {
     struct machine_record record = record_of_machine(machine);
-    record.fencing_token = fencing_token;
+    record.fencing_token = tokens.first;
+    record.last_token = tokens.last;
     return machine_transfer_write(&record, shard);
 }
 
--- a/src/machines/records.h
+++ b/src/machines/records.h
@@ -15,5 +15,5 @@
  * `next_page` puts it on that page, as `page` does for an unregistered machine. The caller owns the value. */
 cJSON *machines_page_value(int shard, int page, int *count);
 /* Builds the transfer record of a machine on its way to the shard. The caller owns the value. */
-cJSON *machines_transfer_value(const struct machine *machine, int shard, int64_t fencing_token);
+cJSON *machines_transfer_value(const struct machine *machine, int shard, struct token_range tokens);
 #endif
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -13,6 +13,7 @@
 
 #include "../http/client.h"
 #include "../json/json.h"
+#include "../model/token_range.h"
 #include "../settings/settings.h"
 #include "../store/store.h"
 
@@ -28,7 +29,8 @@
     char owner[MEMBERSHIP_NAME_BYTES];              /* name of a controller; empty: the shard has no owner */
     char incarnation[MEMBERSHIP_INCARNATION_BYTES]; /* identifies one start of the owner's process */
     int64_t mod_revision;                           /* 0: no record */
-    int64_t fencing_token;
+    int64_t fencing_token;                          /* the first of the owner's tokens */
+    int64_t last_token;               /* the last of them; the same as the first if an earlier version granted it */
     struct timespec owner_changed_at; /* when this controller read the current owner for the first time */
 };
 
@@ -58,8 +60,9 @@
 bool membership_is_leader(void);
 /* Returns the number of live controllers, at least 1. */
 int membership_live_controllers(void);
-/* Returns the fencing counter in the mirror. */
-int64_t membership_fencing_counter(void);
+/* Returns the tokens that the next grant contains. The transaction that grants them writes the last one as the fencing
+ * counter, on the condition that the counter is unchanged. */
+struct token_range membership_next_tokens(void);
 
 /* Returns for how many seconds after it sent a read of the store this controller may answer workers. */
 double membership_read_validity_s(void);
@@ -81,7 +84,7 @@
 const char *membership_incarnation(void);
 
 /* Returns the JSON of a shard's record; the caller owns it. */
-cJSON *membership_shard_value(const char *owner, const char *incarnation, int64_t fencing_token);
+cJSON *membership_shard_value(const char *owner, const char *incarnation, struct token_range tokens);
 /* Returns how many seconds a controller waits before it probes the workers, after it has lost the workers this many
  * times in a row. Pure. */
 double membership_worker_probe_delay_s(int consecutive_losses);
--- a/src/membership/records.c
+++ b/src/membership/records.c
@@ -24,7 +24,9 @@
 /* ---- queries ---- */
 
 const struct membership_shard_state *membership_shard(int shard) { return &records.shards[shard]; }
-int64_t membership_fencing_counter(void) { return records.fencing_counter; }
+struct token_range membership_next_tokens(void) {
+    return token_range_of_grant(records.fencing_counter + 1);
+}
 const char *membership_incarnation(void) { return own_incarnation; }
 
 static bool is_this_incarnation(const char *node, const char *incarnation) {
@@ -94,11 +96,12 @@
     return value;
 }
 
-cJSON *membership_shard_value(const char *owner, const char *incarnation, int64_t fencing_token) {
+cJSON *membership_shard_value(const char *owner, const char *incarnation, struct token_range tokens) {
     cJSON *value = cJSON_CreateObject();
     cJSON_AddStringToObject(value, "owner", owner);
     cJSON_AddStringToObject(value, "inc", incarnation);
-    cJSON_AddNumberToObject(value, "fence", (double)fencing_token);
+    cJSON_AddNumberToObject(value, "fence", (double)tokens.first);
+    cJSON_AddNumberToObject(value, "last", (double)tokens.last);
     return value;
 }
 
@@ -165,6 +168,7 @@
     }
     shard->mod_revision = data ? mod_revision : 0;
     if (!json_get_int64(data, "fence", &shard->fencing_token)) shard->fencing_token = 0;
+    if (!json_get_int64(data, "last", &shard->last_token)) shard->last_token = shard->fencing_token;
     update_write_fraction();
 }
 
--- a/src/membership/shard_assignment.c
+++ b/src/membership/shard_assignment.c
@@ -43,14 +43,14 @@
     return NO_SHARD;
 }
 
-/* Adds the assignment of the shard to the node, and the increment of the fencing counter, to the transaction. */
+/* Adds the assignment of the shard to the node, with a grant of fencing tokens, to the transaction. */
 static void add_assignment(struct store_txn *txn, int shard, const struct membership_node *new_owner) {
     struct store_key key = store_key_shard(shard);
-    int64_t fencing_token = membership_fencing_counter() + 1;
+    struct token_range tokens = membership_next_tokens();
     store_txn_compare(txn, key.text, membership_shard(shard)->mod_revision);
-    store_txn_put(txn, key.text, membership_shard_value(new_owner->name, new_owner->incarnation, fencing_token), 0);
+    store_txn_put(txn, key.text, membership_shard_value(new_owner->name, new_owner->incarnation, tokens), 0);
     store_txn_compare(txn, STORE_KEY_FENCING_COUNTER, store_key_revision(STORE_KEY_FENCING_COUNTER));
-    store_txn_put(txn, STORE_KEY_FENCING_COUNTER, cJSON_CreateNumber((double)fencing_token), 0);
+    store_txn_put(txn, STORE_KEY_FENCING_COUNTER, cJSON_CreateNumber((double)tokens.last), 0);
     store_txn_compare(txn, store_key_node(new_owner->name).text, new_owner->mod_revision);
     records_compare_own_node(txn);
 }
--- a/src/model/machine.h
+++ b/src/model/machine.h
@@ -9,6 +9,7 @@
 
 #include "allocation.h"
 #include "machine_type.h"
+#include "token_range.h"
 
 /* Sizes of strings, with the terminating zero. */
 #define MACHINE_ID_SIZE 64
@@ -18,6 +19,11 @@
 #define MACHINE_OCCUPANCY_SAMPLES 64
 /* Allocations of a machine at a time. The limit keeps heartbeats and responses far below 64 KiB. */
 #define MACHINE_TASKS_MAX 200
+/* Longest list of tasks, ended ones included, with which a machine gets more tasks. The tasks that it may get by then
+ * still fit a heartbeat of 64 KiB. */
+#define HEARTBEAT_BYTES_MAX 65536
+#define LISTED_TASK_BYTES_MAX 128
+#define MACHINE_LISTED_TASKS_MAX (HEARTBEAT_BYTES_MAX / LISTED_TASK_BYTES_MAX - MACHINE_TASKS_MAX)
 /* The pages of a shard are numbered from 0 to MACHINE_PAGES_MAX - 1. */
 #define MACHINE_PAGES_MAX 256
 
@@ -26,6 +32,7 @@
     int64_t incarnation, sequence; /* of the agent's latest message; 0: none received */
     int64_t reported_token;        /* the highest fencing token that the agent has reported */
     GArray *unknown_tasks;         /* struct unknown_task: listed tasks that have no allocation */
+    int listed_tasks;              /* number of tasks in the agent's latest list, ended ones included */
 };
 
 /* Whether messages reach the controller and the machine. Maintained by workers and liveness. */
@@ -40,6 +47,11 @@
     struct timespec notice_received_at;
 };
 
+/* A start that a command has carried to the agent, and that the agent may still carry out (pending_starts.h). */
+struct pending_start {
+    int64_t attempt, fencing_token, incarnation;
+};
+
 /* Commands to the machine, besides the responses to its heartbeats. Workers send the commands; other packages set
  * send_pending and needs_token_probe to request commands. */
 struct machine_commands {
@@ -50,7 +62,12 @@
     struct timespec last_probe;
     bool start_outcome_unknown; /* a start may yet be carried out, under the token and incarnation below */
     int64_t unknown_start_token, unknown_start_incarnation;
-    bool needs_token_raise; /* only a higher fencing token rules out that this start is carried out */
+    GArray *pending_starts;          /* struct pending_start */
+    int64_t raised_token;            /* the machine's current token, if its range of tokens contains it */
+    struct timespec token_raised_at; /* when raised_token was last raised */
+    bool release_needs_token_raise;  /* only a higher token rules out a start of a task that is not listed */
+    bool needs_token_raise;          /* a token above token_raise_above has to be granted by a write */
+    int64_t token_raise_above;
     /* Incarnation and sequence of the heartbeat whose response carried starts that may still reach the agent; 0: none.
      */
     int64_t response_start_incarnation, response_start_sequence;
@@ -87,7 +104,7 @@
     bool schedulable;
     bool dirty;                 /* the round adds or releases allocations on the machine */
     bool leaves_page;           /* the machine is left out when its page is written */
-    int64_t next_fencing_token; /* the page is written with this token for the machine; 0: with its present one */
+    int64_t next_fencing_token; /* the page is written with the range that this token begins; 0: with its present one */
     int next_page;              /* the machine is written to this page; -1: to its present one */
     double occupancy;
     double used_vcpus, used_gpus, used_memory_gb; /* by allocations and planned tasks */
@@ -112,7 +129,8 @@
     int shard;                        /* -1: none */
     int page;                         /* page of the shard; -1: the machine has its own record, for a transfer */
     int64_t placement_revision;       /* mod revision of the record that set shard and page */
-    int64_t fencing_token;            /* the machine's own, from its adoption or a raise; the shard's may be higher */
+    int64_t fencing_token;            /* the machine's own, from a transfer or a raise; the shard's may be higher */
+    int64_t last_token;               /* the last token of the range that fencing_token begins */
     bool address_unrecorded;          /* its record lacks the known address */
 
     /* Known to the owner of its shard, and valid only while owned_token is the shard's fencing token. */
--- a/src/placement/candidates.c
+++ b/src/placement/candidates.c
@@ -78,7 +78,8 @@
     return machine->liveness.up && machine->page >= 0 && machine->type && remains_in_shard(machine) &&
            accepts_directives(machine) && !quarantine_machine_faulty(machine) &&
            clock_seconds_since(machine->liveness.last_heartbeat) < overdue_s &&
-           machine->allocations->len < MACHINE_TASKS_MAX && !liveness_zone_unreachable(shard, machine->zone);
+           machine->allocations->len < MACHINE_TASKS_MAX && machine->agent.listed_tasks < MACHINE_LISTED_TASKS_MAX &&
+           !liveness_zone_unreachable(shard, machine->zone);
 }
 
 void placement_prepare_machines(int shard) {
--- a/src/scheduler/barrier.c
+++ b/src/scheduler/barrier.c
@@ -29,7 +29,8 @@
     bool owned = membership_owns(shard);
     const struct membership_shard_state *record = membership_shard(shard);
     store_txn_compare(&transaction, key.text, record->mod_revision);
-    cJSON *same_value = membership_shard_value(record->owner, record->incarnation, record->fencing_token);
+    struct token_range tokens = {record->fencing_token, record->last_token};
+    cJSON *same_value = membership_shard_value(record->owner, record->incarnation, tokens);
     store_txn_put(&transaction, key.text, same_value, 0);
     store_unlock();
     if (owned && send_barrier(client, &transaction)) owned_shard_states[shard].barrier_pending = false;
--- a/src/scheduler/round.c
+++ b/src/scheduler/round.c
@@ -141,7 +141,7 @@
     for (guint i = 0; i < machines->len; i++) {
         struct machine *machine = machines->pdata[i];
         struct machine_commands *commands = &machine->commands;
-        if (commands->needs_token_raise && machines_fencing_token(machine) > commands->unknown_start_token)
+        if (commands->needs_token_raise && machines_fencing_token(machine) > commands->token_raise_above)
             commands->needs_token_raise = false;
     }
 }
--- a/src/scheduler/stage_pages.c
+++ b/src/scheduler/stage_pages.c
@@ -31,8 +31,8 @@
     uint8_t needs[MACHINE_PAGES_MAX];  /* enum page_need, for each page */
     bool oversized[MACHINE_PAGES_MAX]; /* the page is too large for the store's next limit */
     struct shard_page_usage usage;
-    int64_t fencing_token; /* new token of machines that are raised or transferred */
-    int raise_writes;      /* writes of the transaction that raises tokens, including the fencing counter */
+    struct token_range tokens; /* granted to the machines that are raised or transferred */
+    int raise_writes;          /* writes of the transaction that raises tokens, including the fencing counter */
     bool has_raises;
 };
 
@@ -88,7 +88,7 @@
     int writes = (transfer ? 1 : 0) + ((plan->needs[page] & PAGE_RAISE_TOKENS) ? 0 : 1);
     if (plan->raise_writes + writes > scheduler_settings->txn_operations_max) return;
     plan->raise_writes += writes;
-    machine->round.next_fencing_token = plan->fencing_token;
+    machine->round.next_fencing_token = plan->tokens.first;
     machine->round.leaves_page = transfer;
     plan->has_raises = true;
     plan->needs[page] |= PAGE_RAISE_TOKENS;
@@ -158,11 +158,10 @@
 }
 
 /* Puts the machine's own record, which transfers it to another shard. */
-static void put_transfer(struct store_txn *transaction, const struct machine *machine, int64_t fencing_token) {
+static void put_transfer(struct store_txn *transaction, const struct machine *machine, struct token_range tokens) {
     struct store_key key = store_key_machine(machine->id);
     store_txn_compare(transaction, key.text, 0);
-    store_txn_put(transaction, key.text,
-                  machines_transfer_value(machine, machine->rebalance.target_shard, fencing_token), 0);
+    store_txn_put(transaction, key.text, machines_transfer_value(machine, machine->rebalance.target_shard, tokens), 0);
 }
 
 /* Stages token raises and transfers, together with the new fencing counter, in one transaction. */
@@ -170,7 +169,7 @@
     struct store_txn *transaction = transactions_reserve(round, scheduler_settings->txn_operations_max, 3);
     round->writes_left += scheduler_settings->txn_operations_max - plan->raise_writes;
     store_txn_compare(transaction, STORE_KEY_FENCING_COUNTER, store_key_revision(STORE_KEY_FENCING_COUNTER));
-    store_txn_put(transaction, STORE_KEY_FENCING_COUNTER, cJSON_CreateNumber((double)plan->fencing_token), 0);
+    store_txn_put(transaction, STORE_KEY_FENCING_COUNTER, cJSON_CreateNumber((double)plan->tokens.last), 0);
     for (int page = 0; page < MACHINE_PAGES_MAX; page++) {
         if (!(plan->needs[page] & PAGE_RAISE_TOKENS)) continue;
         put_page(transaction, plan->shard, page);
@@ -179,7 +178,7 @@
     const GPtrArray *machines = machines_of_shard(plan->shard);
     for (guint i = 0; i < machines->len; i++) {
         const struct machine *machine = machines->pdata[i];
-        if (machine->round.leaves_page) put_transfer(transaction, machine, plan->fencing_token);
+        if (machine->round.leaves_page) put_transfer(transaction, machine, plan->tokens);
     }
 }
 
@@ -231,7 +230,7 @@
 }
 
 static void page_plan_init(struct page_plan *plan, int shard) {
-    *plan = (struct page_plan){.shard = shard, .fencing_token = membership_fencing_counter() + 1, .raise_writes = 1};
+    *plan = (struct page_plan){.shard = shard, .tokens = membership_next_tokens(), .raise_writes = 1};
     struct timespec *deferred_writes_at = &owned_shard_states[shard].deferred_writes_at;
     plan->write_deferred = clock_seconds_since(*deferred_writes_at) > DEFERRED_WRITE_INTERVAL_S;
     if (plan->write_deferred) *deferred_writes_at = clock_now();
--- a/src/workers/commands.c
+++ b/src/workers/commands.c
@@ -34,7 +34,8 @@
 
 struct command *command_new_fenced(enum command_kind kind, const struct machine *machine) {
     struct command *command = command_new(kind, machine->id, machine->address);
-    command->fencing_token = machines_fencing_token(machine);
+    command->fencing_token = machines_current_token(machine);
+    command->last_token = machines_tokens(machine).last;
     command->incarnation = machine->agent.incarnation > 0 ? machine->agent.incarnation : 1;
     return command;
 }
--- a/src/workers/commands.h
+++ b/src/workers/commands.h
@@ -23,6 +23,7 @@
     cJSON *directives; /* COMMAND_STOP_CANCELLED: the stops; else NULL */
     bool has_start;    /* the body contains a directive that starts a task */
     int64_t fencing_token, incarnation;
+    int64_t last_token;  /* COMMAND_STOP_CANCELLED: the highest token that the machine's owner may be using */
     int64_t owned_token; /* the shard's fencing token under which this controller owned the machine at decided_at */
     struct timespec decided_at; /* when the dispatcher created the command */
 };
@@ -35,7 +36,7 @@
 void commands_init(void);
 /* Creates a command to the machine; the caller sets the remaining members. */
 struct command *command_new(enum command_kind kind, const char *machine_id, const char *address);
-/* Creates a command with the machine's current fencing token and incarnation (1 if the incarnation is not known).
+/* Creates a command with the machine's current token and incarnation (1 if the incarnation is not known).
  * Called with store_lock held. */
 struct command *command_new_fenced(enum command_kind kind, const struct machine *machine);
 void command_free(struct command *command);
--- a/src/workers/directives.c
+++ b/src/workers/directives.c
@@ -11,6 +11,7 @@
 #include "../membership/membership.h"
 #include "../store/store.h"
 #include "codec.h"
+#include "pending_starts.h"
 
 bool directives_awaits_start(const struct allocation *allocation) {
     const struct machine *machine = allocation->machine;
@@ -53,7 +54,7 @@
     log_info("machine %s: %s %lld/%lld, token %lld, worker shows %lld, last read of the store %.2f s ago: %s",
              machine->id, channel == CHANNEL_HEARTBEAT ? "response to heartbeat" : "command after message",
              (long long)machine->agent.incarnation, (long long)machine->agent.sequence,
-             (long long)machines_fencing_token(machine), (long long)machine->agent.reported_token,
+             (long long)machines_current_token(machine), (long long)machine->agent.reported_token,
              clock_seconds_since(store_last_read_sent()), text);
 }
 
@@ -64,21 +65,12 @@
     }
 }
 
-/* Returns whether the worker may be told to forget attempts that have ended. A delayed start of such an attempt has no
- * effect as long as the worker lists the attempt, and runs it again afterwards. The worker therefore forgets the
- * attempt only when no start can arrive any more, neither in a command nor in a response to a heartbeat. Starts of an
- * earlier owner cannot: the worker has shown this owner's higher fencing token. */
-static bool may_forget(const struct machine *machine, bool shows_token) {
-    return shows_token && !machine->commands.start_outcome_unknown && !directives_start_in_flight(machine) &&
-           !directives_response_start_in_flight(machine);
-}
-
-/* Adds directives for tasks without an allocation: a stop, or a forget if the attempt has ended. */
-static void add_for_unknown_tasks(const struct machine *machine, bool shows_token, cJSON *directives) {
-    bool forgets = may_forget(machine, shows_token);
+/* Adds directives for tasks without an allocation: a stop, or a forget if the attempt has ended. A delayed start of an
+ * ended attempt has no effect as long as the worker lists the attempt, and runs it again afterwards. */
+static void add_for_unknown_tasks(const struct machine *machine, cJSON *directives) {
     for (guint i = 0; i < machine->agent.unknown_tasks->len && i < MACHINE_TASKS_MAX; i++) {
         const struct unknown_task *unknown = &g_array_index(machine->agent.unknown_tasks, struct unknown_task, i);
-        if (unknown->ended && !forgets) continue;
+        if (unknown->ended && !pending_starts_ruled_out(machine, unknown->attempt)) continue;
         enum directive_kind kind = unknown->ended ? DIRECTIVE_FORGET : DIRECTIVE_STOP;
         codec_add_directive(directives, &(struct directive){kind, unknown->task_name, unknown->attempt, 0});
     }
@@ -105,6 +97,8 @@
         if (channel == CHANNEL_HEARTBEAT) {
             allocation->starts_sent++;
             note_response_start(machine);
+        } else {
+            pending_starts_add(machine, allocation->attempt);
         }
     }
 }
@@ -115,7 +109,7 @@
     cJSON *directives = cJSON_CreateArray();
     bool shows_token = machine->agent.reported_token >= machines_fencing_token(machine);
     bool may_start = membership_may_start_tasks();
-    add_for_unknown_tasks(machine, shows_token, directives);
+    add_for_unknown_tasks(machine, directives);
     for (guint i = 0; shows_token && i < machine->allocations->len && i < MACHINE_TASKS_MAX; i++) {
         struct allocation *allocation = machine->allocations->pdata[i];
         if (!allocation->released) add_for_allocation(allocation, may_start, channel, directives);
--- a/src/workers/heartbeat.c
+++ b/src/workers/heartbeat.c
@@ -6,7 +6,6 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "../events/events.h"
 #include "../http/status.h"
 #include "../json/json.h"
 #include "../machines/machines.h"
@@ -17,6 +16,7 @@
 #include "directives.h"
 #include "proxy.h"
 #include "reconciliation.h"
+#include "token_raise.h"
 #include "unregistered.h"
 
 #define RETRY_AFTER_S 1
@@ -87,9 +87,9 @@
  * conditions in proxy.h hold, this controller answers on the owner's behalf. */
 static struct response respond_not_owned(struct machine *machine, const struct heartbeat *heartbeat) {
     const char *owner = membership_shard(machine->shard)->owner;
-    if (heartbeat->fencing_token <= machines_fencing_token(machine) && proxy_may_answer(machine) &&
+    if (heartbeat->fencing_token <= machines_tokens(machine).last && proxy_may_answer(machine) &&
         !proxy_start_may_be_in_flight(machine, heartbeat->tasks))
-        return directives_response(proxy_response(machine, heartbeat->tasks));
+        return directives_response(proxy_response(machine, heartbeat));
     return strcmp(owner, settings->node) == 0 ? retry_response() : other_controller_response(owner);
 }
 
@@ -99,31 +99,21 @@
     machine->address_unrecorded = true;
 }
 
-/* Returns whether a start with unknown outcome may still be carried out under the machine's current fencing token. If
- * so, the worker's lease is renewed only under a higher token, which rules that start out. */
-static bool needs_token_raise(const struct machine *machine) {
-    return machine->commands.start_outcome_unknown && !directives_start_in_flight(machine) &&
-           machines_fencing_token(machine) <= machine->commands.unknown_start_token;
-}
-
 /* Applies the heartbeat of an owned machine and responds to it. */
 static struct response apply_and_respond(struct machine *machine, const struct heartbeat *heartbeat) {
     bool applied = reconciliation_apply(machine, heartbeat, CHANNEL_HEARTBEAT);
     if (applied && heartbeat->fencing_token >= machines_fencing_token(machine)) machines_add_occupancy_sample(machine);
-    if (needs_token_raise(machine)) {
-        machine->commands.needs_token_raise = true;
-        events_publish(EVENT_SCHEDULE);
-        return retry_response();
-    }
+    if (!token_raise_rule_out_unknown_start(machine)) return retry_response();
+    if (applied) token_raise_for_waiting_attempts(machine);
     cJSON *directives = applied ? directives_build(machine, CHANNEL_HEARTBEAT) : cJSON_CreateArray();
     machine->liveness.heartbeat_acknowledged = true;
-    return directives_response(codec_write_response(machines_fencing_token(machine), directives));
+    return directives_response(codec_write_response(machines_current_token(machine), directives));
 }
 
 static struct response respond_owned(struct machine *machine, const struct heartbeat *heartbeat) {
     update_address(machine, heartbeat->address);
     /* The machine has already received a later owner's fencing token. */
-    if (heartbeat->fencing_token > machines_fencing_token(machine)) return other_controller_response(NULL);
+    if (heartbeat->fencing_token > machines_current_token(machine)) return other_controller_response(NULL);
     return membership_may_answer_workers() ? apply_and_respond(machine, heartbeat) : retry_response();
 }
 
--- a/src/workers/listed_tasks.c
+++ b/src/workers/listed_tasks.c
@@ -10,6 +10,7 @@
 #include "../logging/logging.h"
 #include "../quarantine/quarantine.h"
 #include "directives.h"
+#include "pending_starts.h"
 
 #define SERVICE_SUCCESS_S 30.0 /* a service replica that runs longer than this counts as a success of its job */
 /* Delays until a job is retried whose task the worker does not know, or that found no room on the machine. */
@@ -141,9 +142,16 @@
     return true;
 }
 
+static void note_list_length(struct machine *machine, int length) {
+    if (length >= MACHINE_LISTED_TASKS_MAX && machine->agent.listed_tasks < MACHINE_LISTED_TASKS_MAX)
+        log_info("machine %s: lists %d tasks, gets no more until ended ones are forgotten", machine->id, length);
+    machine->agent.listed_tasks = length;
+}
+
 bool listed_tasks_apply(struct machine *machine, const cJSON *tasks, bool *listed) {
     bool any_ended = false;
     const cJSON *item;
+    note_list_length(machine, cJSON_GetArraySize(tasks));
     g_array_set_size(machine->agent.unknown_tasks, 0);
     cJSON_ArrayForEach(item, tasks) {
         struct listed_task task;
@@ -175,10 +183,15 @@
 
 bool listed_tasks_release_absent(struct machine *machine, const bool *listed, double gang_start_s) {
     bool any_released = false;
+    machine->commands.release_needs_token_raise = false;
     if (machine->commands.start_outcome_unknown || directives_start_in_flight(machine)) return false;
     for (guint i = 0; i < machine->allocations->len && i < LISTED_TASKS_ALLOCATIONS_MAX; i++) {
         struct allocation *allocation = machine->allocations->pdata[i];
         if (listed[i] || allocation->released || !proven_absent(allocation, gang_start_s)) continue;
+        if (!pending_starts_ruled_out(machine, allocation->attempt)) {
+            machine->commands.release_needs_token_raise = true;
+            continue;
+        }
         release(allocation, "not listed");
         any_released = true;
     }
--- a/src/workers/listed_tasks.h
+++ b/src/workers/listed_tasks.h
@@ -20,7 +20,8 @@
  * tasks that have no allocation. Sets listed[i] to true if the machine's allocation i is listed; listed has
  * LISTED_TASKS_ALLOCATIONS_MAX items. Returns true if an allocation was released because its task ended. */
 bool listed_tasks_apply(struct machine *machine, const cJSON *tasks, bool *listed);
-/* Releases the allocations that are not listed and proven absent, unless a command may still start their tasks. Returns
- * true if it released any. gang_start_s: how many seconds after its allocation a gang's task has to be listed. */
+/* Releases the allocations that are not listed and proven absent, unless a command may still start their tasks; notes
+ * whether that takes a higher fencing token to rule out. Returns true if it released any. gang_start_s: how many
+ * seconds after its allocation a gang's task has to be listed. */
 bool listed_tasks_release_absent(struct machine *machine, const bool *listed, double gang_start_s);
 #endif
--- a/src/workers/proxy.c
+++ b/src/workers/proxy.c
@@ -7,7 +7,6 @@
 #include "../membership/membership.h"
 #include "../peers/peers.h"
 #include "../store/store.h"
-#include "codec.h"
 #include "directives.h"
 #include "listed_tasks.h"
 
@@ -46,9 +45,9 @@
     return count_listed_cancelled_allocations(machine, tasks) < count_cancelled_allocations(machine);
 }
 
-cJSON *proxy_response(struct machine *machine, const cJSON *tasks) {
+cJSON *proxy_response(struct machine *machine, const struct heartbeat *heartbeat) {
     cJSON *directives = cJSON_CreateArray();
-    listed_tasks_collect_cancelled(machine, tasks);
+    listed_tasks_collect_cancelled(machine, heartbeat->tasks);
     directives_add_unknown_stops(machine, directives);
-    return codec_write_response(machines_fencing_token(machine), directives);
+    return codec_write_response(MAX(machines_fencing_token(machine), heartbeat->fencing_token), directives);
 }
--- a/src/workers/proxy.h
+++ b/src/workers/proxy.h
@@ -13,6 +13,7 @@
 
 #include "../json/json.h"
 #include "../machines/machines.h"
+#include "codec.h"
 
 /* Called once, before the threads are started. Keeps the pointer to the settings. */
 void proxy_init(const struct settings *settings);
@@ -25,6 +26,7 @@
  * lease were renewed, the worker would accept that start even after the cancellation deadline cancel_s. The limit on
  * the age of this controller's last read does not prevent this, since that read may be later than the cancellation. */
 bool proxy_start_may_be_in_flight(const struct machine *machine, const cJSON *tasks);
-/* Returns the body of the response to the machine's heartbeat, which the caller frees. */
-cJSON *proxy_response(struct machine *machine, const cJSON *tasks);
+/* Returns the body of the response to the machine's heartbeat, which the caller frees. The response has the token that
+ * the worker shows, since the owner may have raised it within its range. */
+cJSON *proxy_response(struct machine *machine, const struct heartbeat *heartbeat);
 #endif
--- a/src/workers/proxy_test.c
+++ b/src/workers/proxy_test.c
@@ -88,13 +88,18 @@
     cJSON *message = cJSON_Parse(
         "{\"tasks\":[{\"task\":\"req-10005/0\",\"try\":4,\"state\":\"running\"},"
         "{\"task\":\"req-10001/0\",\"try\":4,\"state\":\"running\"}]}");
-    cJSON *response = proxy_response(machine_in_zone, cJSON_GetObjectItemCaseSensitive(message, "tasks"));
+    struct heartbeat heartbeat = codec_read_heartbeat(message);
+    cJSON *response = proxy_response(machine_in_zone, &heartbeat);
     cJSON *directives = cJSON_GetObjectItemCaseSensitive(response, "orders");
     assert_int_equal(json_get_double(response, "fence", 0), 70);
     assert_int_equal(cJSON_GetArraySize(directives), 1); /* only the stop of the cancelled task */
     assert_string_equal(json_get_string(cJSON_GetArrayItem(directives, 0), "verb"), "stop");
     assert_string_equal(json_get_string(cJSON_GetArrayItem(directives, 0), "task"), "req-10005/0");
     cJSON_Delete(response);
+    heartbeat.fencing_token = 75; /* the owner has raised its token within its range */
+    response = proxy_response(machine_in_zone, &heartbeat);
+    assert_int_equal(json_get_double(response, "fence", 0), 75);
+    cJSON_Delete(response);
     cJSON_Delete(message);
     struct settings settings_with_short_validity = settings;
     settings_with_short_validity.cancel_timeout = clock_from_seconds(clock_to_seconds(settings.worker_lease) + 1);
--- a/src/workers/reconciliation.c
+++ b/src/workers/reconciliation.c
@@ -10,6 +10,7 @@
 #include "../logging/logging.h"
 #include "../provisioning/provisioning.h"
 #include "listed_tasks.h"
+#include "pending_starts.h"
 
 #define RENTAL_RECORDING_MAX_S 5.0  /* longest time from a machine's rental until its record is written */
 #define TOKEN_PROBE_INTERVAL_S 1.5  /* shortest time between probes of a machine that shows an older fencing token */
@@ -160,6 +161,7 @@
     mark_alive(machine, heartbeat->fencing_token, channel);
     update_preemption_notice(machine, heartbeat);
     clear_unknown_outcome(machine, heartbeat);
+    pending_starts_remove_void(machine, heartbeat->fencing_token, heartbeat->incarnation);
     reconcile_tasks(machine, heartbeat->tasks, channel);
     return true;
 }
--- a/src/workers/senders.c
+++ b/src/workers/senders.c
@@ -1,5 +1,6 @@
 #include "senders.h"
 
+#include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
@@ -126,31 +127,39 @@
     cJSON_Delete(outcome.answer);
 }
 
-/* Sends the stops of cancelled tasks for the incarnation. Returns true if the worker answers that it has another
- * incarnation, which is then stored in *incarnation. */
-static bool send_stops_once(struct http_client *client, const struct command *command, int64_t *incarnation) {
+/* The fencing token and the incarnation in which a worker carries out a command. */
+struct command_target {
+    int64_t fencing_token, incarnation;
+};
+
+/* Sends the stops of cancelled tasks. Returns true if the worker answers that it has another incarnation, or a higher
+ * token of the same owner; the target is then changed to these. */
+static bool send_stops_once(struct http_client *client, const struct command *command, struct command_target *target) {
     char url[URL_SIZE];
     long status = 0;
     cJSON *answer = NULL;
     snprintf(url, sizeof url, "http://%s/commands", command->address);
-    char *body = codec_write_command(command->fencing_token, *incarnation, command->directives);
+    char *body = codec_write_command(target->fencing_token, target->incarnation, command->directives);
     enum http_outcome http = http_call(client, "POST", url, body, ANSWER_TIMEOUT_MS, &status, &answer);
     free(body);
     log_debug("machine %s: sent stops of cancelled tasks, status %ld", command->machine_id, status);
     struct heartbeat worker_state = codec_read_heartbeat(answer);
-    bool other_incarnation = http == HTTP_ANSWERED && status == HTTP_CONFLICT && worker_state.machine_id &&
-                             strcmp(worker_state.machine_id, command->machine_id) == 0 &&
-                             worker_state.incarnation >= 0 && worker_state.incarnation != *incarnation;
-    *incarnation = worker_state.incarnation;
+    bool refused = http == HTTP_ANSWERED && status == HTTP_CONFLICT && worker_state.machine_id &&
+                   strcmp(worker_state.machine_id, command->machine_id) == 0 && worker_state.incarnation >= 0 &&
+                   worker_state.fencing_token <= command->last_token;
+    struct command_target shown = {MAX(worker_state.fencing_token, target->fencing_token), worker_state.incarnation};
+    bool differs = shown.fencing_token != target->fencing_token || shown.incarnation != target->incarnation;
+    *target = shown;
     cJSON_Delete(answer);
-    return other_incarnation;
+    return refused && differs;
 }
 
-/* Sends the stops to another controller's machine. This controller may know an old incarnation of the machine: if the
- * worker answers with another one, the stops are sent once more for that one. */
+/* Sends the stops to another controller's machine. This controller may know an old incarnation of the machine, and does
+ * not know by how much the owner has raised its token: if the worker answers with others, the stops are sent once more
+ * for those. */
 static void send_stops(struct http_client *client, const struct command *command) {
-    int64_t incarnation = command->incarnation;
-    if (send_stops_once(client, command, &incarnation)) send_stops_once(client, command, &incarnation);
+    struct command_target target = {command->fencing_token, command->incarnation};
+    if (send_stops_once(client, command, &target)) send_stops_once(client, command, &target);
 }
 
 static void send_inspection(struct http_client *client, const struct command *command) {
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -9,11 +9,13 @@
 #include "proxy.h"
 #include "reconciliation.h"
 #include "senders.h"
+#include "token_raise.h"
 
 void workers_init(const struct settings *settings) {
     heartbeat_init(settings);
     proxy_init(settings);
     reconciliation_init(settings);
+    token_raise_init(settings);
     commands_init();
     dispatcher_init();
 }
--- a/tests/cluster/compound_failures_test.c
+++ b/tests/cluster/compound_failures_test.c
@@ -410,6 +410,192 @@
     assert_int_equal(standin_workers_starts_by_prefix("req-10"), JOBS);
 }
 
+/* Copies of commands that arrive only when the test delivers them. */
+static const struct standin_copy_delay copies_on_demand = {1e6, 1e6, 1};
+#define FORGET_WAIT_S (PAIR_WORKER_LEASE_S * 1.5) /* ended attempts are forgotten well within this time */
+
+static int command_copies(void) {
+    struct standin_copy_counts counts = standin_workers_command_copies();
+    return counts.carried_out + counts.refused;
+}
+
+/* Delivers the copies, and waits until a task that they start would be listed and stopped. */
+static void deliver_command_copies(void) {
+    int before = command_copies();
+    standin_workers_deliver_command_copies();
+    assert_true(command_copies() > before);
+    clock_sleep(clock_from_seconds(1));
+}
+
+/* A job's tasks end with an error, run again, mostly on other machines, and their first start commands arrive again. */
+static void command_copy_after_failure_elsewhere(void) {
+    submit_long_job("req-90001", 0, 8); /* machines are up */
+    standin_workers_copy_commands(&copies_on_demand);
+    assert_true(pair_submit("req-70001", pair_team_owned_by(0), "batch", 3));
+    clock_sleep(clock_from_seconds(FORGET_WAIT_S));
+    deliver_command_copies();
+    assert_true(pair_wait_for_job_state("req-70001", "done", 30));
+}
+
+/* A task is stopped for work of higher priority and starts again later, and its first start command arrives again. */
+static void command_copy_after_preemption(void) {
+    standin_cloud_set_capacity(2);
+    standin_workers_copy_commands(&copies_on_demand);
+    struct cluster_job idle = {"req-90001", "red", "batch", "idle", 8, 1, 1, NULL};
+    struct cluster_job production = {"req-90002", "red", "standing", "production", 4, 1, 1, NULL};
+    assert_int_equal(cluster_submit(0, &idle), 201);
+    for (int t = 0; t < idle.tasks; t++) {
+        char task[32];
+        g_snprintf(task, sizeof task, "req-90001/%d", t);
+        assert_true(pair_wait_for_running_task(task, 1, 20));
+    }
+    assert_int_equal(cluster_submit(0, &production), 201);
+    assert_true(pair_wait_for_running_task("req-90002/3", 1, 20));
+    clock_sleep(clock_from_seconds(FORGET_WAIT_S));
+    assert_int_equal(cancel(0, "req-90002"), 200);
+    for (int t = 0; t < idle.tasks; t++) {
+        char task[32];
+        g_snprintf(task, sizeof task, "req-90001/%d", t);
+        assert_true(pair_wait_for_running_task(task, 1, 20));
+    }
+    deliver_command_copies();
+}
+
+/* Jobs are cancelled, and their start commands arrive again more than a lease later. */
+static void command_copy_after_cancellation(void) {
+    standin_workers_copy_commands(&copies_on_demand);
+    submit_long_job("req-90001", 0, 3);
+    submit_long_job("req-90002", 1, 3);
+    assert_int_equal(cancel(0, "req-90001"), 200);
+    assert_int_equal(cancel(1, "req-90002"), 200);
+    clock_sleep(clock_from_seconds(FORGET_WAIT_S));
+    int starts_before = standin_workers_starts();
+    deliver_command_copies();
+    assert_int_equal(standin_workers_starts(), starts_before);
+}
+
+/* Jobs complete, and their start commands arrive again. */
+static void command_copy_after_completion(void) {
+    submit_long_job("req-90001", 0, 2); /* machines are up */
+    standin_workers_copy_commands(&copies_on_demand);
+    for (int i = 0; i < 8; i++) {
+        char job_id[32];
+        g_snprintf(job_id, sizeof job_id, "req-10%03d", i);
+        assert_true(pair_submit(job_id, i % 2 ? "red" : "blue", "batch", 2));
+        assert_true(pair_wait_for_job_state(job_id, "done", 30));
+    }
+    clock_sleep(clock_from_seconds(FORGET_WAIT_S));
+    int starts_before = standin_workers_starts();
+    deliver_command_copies();
+    assert_int_equal(standin_workers_starts(), starts_before);
+}
+
+/* The incident of 4 December 2026: a task fails, is forgotten and runs elsewhere; its owner restarts within a second,
+ * and the first start command arrives again before the owner's new token does. */
+static void command_copy_after_owner_restart(void) {
+    submit_long_job("req-90001", 0, 8); /* machines are up */
+    standin_workers_copy_commands(&copies_on_demand);
+    assert_true(pair_submit("req-70001", pair_team_owned_by(0), "batch", 2));
+    clock_sleep(clock_from_seconds(FORGET_WAIT_S));
+    pair_kill_controller(0);
+    deliver_command_copies();
+    pair_start_controller(0);
+    assert_true(pair_wait_for_job_state("req-70001", "done", 30));
+}
+
+/* A shard's owner ends, another takes the shard, and start commands of both arrive again. */
+static void command_copy_after_owner_change(void) {
+    standin_workers_copy_commands(&copies_on_demand);
+    submit_long_job("req-90001", 0, 3);
+    submit_long_job("req-90002", 0, 2);
+    assert_int_equal(cancel(0, "req-90001"), 200);
+    clock_sleep(clock_from_seconds(0.5));
+    pair_kill_controller(0);
+    assert_true(cluster_wait_for_shard_owners(15));
+    assert_true(pair_submit("req-10002", "red", "batch", 3));
+    assert_true(pair_wait_for_job_state("req-10002", "done", 30));
+    clock_sleep(clock_from_seconds(FORGET_WAIT_S));
+    int starts_before = standin_workers_starts();
+    deliver_command_copies();
+    assert_int_equal(standin_workers_starts(), starts_before);
+    pair_start_controller(0);
+}
+
+/* Whether a page of the shard's machines names the machine. */
+static bool shard_records_machine(int shard, const char *id) {
+    char key[32];
+    g_snprintf(key, sizeof key, "fleet/%d/0", shard);
+    g_autofree char *page = standin_store_value(key);
+    return page && strstr(page, id);
+}
+
+/* Machines pass to the other shard, whose job needs them, and the start commands of both shards arrive again. */
+static void command_copy_after_rebalance(void) {
+    enum { MACHINES = 3 };
+    bool was_in_first_shard[MACHINES], any_moved = false;
+    char id[16];
+    standin_cloud_set_capacity(MACHINES);
+    standin_workers_copy_commands(&copies_on_demand);
+    struct cluster_job idle = {"req-90001", "red", "batch", "idle", 4 * MACHINES, 1, 1, NULL};
+    struct cluster_job production = {"req-90002", "blue", "standing", "production", 4, 1, 1, NULL};
+    assert_int_equal(cluster_submit(0, &idle), 201);
+    assert_true(pair_wait_for_running_task("req-90001/11", 1, 20));
+    clock_sleep(clock_from_seconds(5)); /* a shard gives a machine only after it has owned it for this long */
+    for (int i = 0; i < MACHINES; i++) {
+        g_snprintf(id, sizeof id, "i-%06d", i);
+        was_in_first_shard[i] = shard_records_machine(0, id);
+    }
+    assert_int_equal(cluster_submit(0, &production), 201);
+    assert_true(pair_wait_for_running_task("req-90002/3", 1, 40));
+    for (int i = 0; i < MACHINES; i++) {
+        g_snprintf(id, sizeof id, "i-%06d", i);
+        any_moved |= was_in_first_shard[i] && shard_records_machine(1, id);
+    }
+    assert_true(any_moved);
+    clock_sleep(clock_from_seconds(FORGET_WAIT_S));
+    int starts_before = standin_workers_starts();
+    deliver_command_copies();
+    assert_int_equal(standin_workers_starts(), starts_before);
+}
+
+/* One gang completes and another one is cancelled, and their start commands arrive again. */
+static void command_copy_after_gang(void) {
+    standin_workers_copy_commands(&copies_on_demand);
+    assert_true(pair_submit("req-10001", "red", "group", 3));
+    assert_true(pair_submit("req-90001", "blue", "group", 3));
+    assert_true(pair_wait_for_job_state("req-10001", "done", 30));
+    assert_true(pair_wait_for_running_task("req-90001/2", 1, 20));
+    assert_int_equal(cancel(0, "req-90001"), 200);
+    clock_sleep(clock_from_seconds(FORGET_WAIT_S));
+    int starts_before = standin_workers_starts();
+    deliver_command_copies();
+    assert_int_equal(standin_workers_starts(), starts_before);
+}
+
+/* One-task jobs arrive four a second; a third of them is cancelled. Every start command arrives again, from 0.1 s to
+ * well over a lease later, and a controller restarts in between. The workers' lists stay short. */
+static void command_copies_under_load(void) {
+    enum { JOBS = 80, LISTED_TASKS_MAX = 40 };
+    submit_long_job("req-90001", 0, 2); /* machines are up */
+    standin_workers_copy_commands(&(struct standin_copy_delay){0.1, PAIR_WORKER_LEASE_S * 1.5, 20261205});
+    struct timespec last_cancelled_at = clock_now();
+    for (int i = 0; i < JOBS; i++) {
+        char job_id[32];
+        g_snprintf(job_id, sizeof job_id, "req-%s%03d", i % 3 == 1 ? "70" : "10", i);
+        assert_true(pair_submit(job_id, i % 2 ? "red" : "blue", "batch", 1));
+        if (i % 3 == 2) assert_int_equal(cancel(i % 2, job_id), 200);
+        if (i % 3 == 2) last_cancelled_at = clock_now();
+        if (i == JOBS / 2) pair_kill_controller(1);
+        clock_sleep(clock_from_seconds(0.25));
+        if (i == JOBS / 2) pair_start_controller(1);
+    }
+    pair_wait_until_elapsed(last_cancelled_at, PAIR_WORKER_LEASE_S * 1.5 + 1);
+    struct standin_copy_counts counts = standin_workers_command_copies();
+    assert_true(counts.carried_out > 0 && counts.refused > 0);
+    assert_true(standin_workers_longest_list() < LISTED_TASKS_MAX);
+    assert_true(pair_wait_for_job_state("req-10078", "done", 30));
+}
+
 static const struct {
     const char *name;
     void (*run)(void);
@@ -431,6 +617,15 @@
     {"stop_not_obeyed", stop_not_obeyed, 0},
     {"machine_without_record", machine_without_record, 0},
     {"late_response_does_not_restart_a_task", late_response_does_not_restart_a_task, 0},
+    {"command_copy_after_failure_elsewhere", command_copy_after_failure_elsewhere, 0},
+    {"command_copy_after_preemption", command_copy_after_preemption, 0},
+    {"command_copy_after_cancellation", command_copy_after_cancellation, 0},
+    {"command_copy_after_completion", command_copy_after_completion, 0},
+    {"command_copy_after_owner_restart", command_copy_after_owner_restart, 0},
+    {"command_copy_after_owner_change", command_copy_after_owner_change, 0},
+    {"command_copy_after_rebalance", command_copy_after_rebalance, 0},
+    {"command_copy_after_gang", command_copy_after_gang, 0},
+    {"command_copies_under_load", command_copies_under_load, 0},
 };
 static size_t row;
 
--- a/tests/cluster/controller_pause_test.c
+++ b/tests/cluster/controller_pause_test.c
@@ -138,6 +138,7 @@
     check_resumed_controller_answers();
     assert_true(pair_wait_for_running_task("req-90003/0", 1, 20));
     assert_int_equal(standin_workers_most_copies(), 1);
+    assert_int_equal(standin_workers_restarts(), 0);
     /* The machine of job 3 was not treated as silent, so its task was not started again. During a store outage the
      * machine's lease may have expired. */
     if (rows[row].outage_s <= 0) assert_int_equal(standin_workers_starts_by_prefix("req-90003"), starts_before);
--- a/tests/cluster/dependency_failures_test.c
+++ b/tests/cluster/dependency_failures_test.c
@@ -252,6 +252,7 @@
     (void)state;
     assert_true(pair_restart_with_leader(0));
     rows[row].run();
+    assert_int_equal(standin_workers_restarts(), 0);
 }
 
 int main(int argc, char **argv) {
--- a/tests/cluster/divided_teams_test.c
+++ b/tests/cluster/divided_teams_test.c
@@ -469,6 +469,7 @@
     assert_int_equal(history_starts_above_limit(log, "red", LIMIT_GPUS, 0), 0);
     assert_int_equal(history_starts_above_limit(log, "blue", LIMIT_GPUS, 0), 0);
     assert_int_equal(history_duplicate_starts(log), 0);
+    assert_int_equal(standin_workers_restarts(), 0);
     for (int t = 0; t < 2; t++) {
         const char *team = t ? "blue" : "red";
         double below_guarantee_s = history_longest_starvation_s(log, team, GUARANTEE_GPUS);
--- a/tests/cluster/rolling_upgrade_test.c
+++ b/tests/cluster/rolling_upgrade_test.c
@@ -33,6 +33,7 @@
     CANCELLED_AT_OLD,     /* the old controller confirms cancellations, and the upgraded controller carries them out */
     STORE_OUTAGE,         /* the store is out for 2 s */
     DELAYED_TRANSACTIONS, /* some transactions are carried out late */
+    ROLLED_BACK, /* the upgraded controller, which has raised tokens, restarts in the old version for a while */
 };
 static const struct {
     const char *name;
@@ -49,6 +50,7 @@
     {"cancelled_at_old", 0, CANCELLED_AT_OLD, true},
     {"store_outage_midway", 1, STORE_OUTAGE, true},
     {"delayed_transactions", 0, DELAYED_TRANSACTIONS, false},
+    {"rolled_back", 0, ROLLED_BACK, false},
 };
 static size_t row;
 static const char *production_program, *current_program;
@@ -126,6 +128,18 @@
             clock_sleep(clock_from_seconds(2));
             standin_store_delay_transactions(0);
             break;
+        case ROLLED_BACK:
+            assert_true(pair_submit("req-10003", "red", "batch", 8) && pair_submit("req-10004", "blue", "batch", 8));
+            clock_sleep(clock_from_seconds(PAIR_WORKER_LEASE_S)); /* tokens are raised to forget ended attempts */
+            pair_kill_controller(upgraded);
+            start_as(upgraded, production_program);
+            clock_sleep(clock_from_seconds(PAIR_WORKER_LEASE_S));
+            assert_true(pair_submit("req-10005", "red", "batch", 8) && pair_submit("req-10006", "blue", "batch", 8));
+            assert_true(pair_wait_for_job_state("req-10005", "done", 20) &&
+                        pair_wait_for_job_state("req-10006", "done", 20));
+            pair_kill_controller(upgraded);
+            start_as(upgraded, current_program);
+            break;
     }
     clock_sleep(clock_from_seconds(1.5));
 }
@@ -249,6 +263,7 @@
     check_wide_arrays();
     assert_in_range(standin_workers_peak(), 1, 4);
     assert_int_equal(standin_workers_most_copies(), 1);
+    assert_int_equal(standin_workers_restarts(), 0);
     assert_int_equal(standin_store_oversized(), 0);
 }
 
--- a/tests/cluster/store_partition_test.c
+++ b/tests/cluster/store_partition_test.c
@@ -166,6 +166,7 @@
     assert_true(pair_wait_for_running_task("req-90003/0", 1, 20)); /* job 3 was not cancelled */
     assert_int_equal(running_tasks("req-90001", 2) + running_tasks("req-90002", 1) + running_tasks("req-90004", 1), 0);
     assert_int_equal(standin_workers_most_copies(), 1);
+    assert_int_equal(standin_workers_restarts(), 0);
 }
 
 int main(int argc, char **argv) {
--- a/tests/cluster/two_controllers_test.c
+++ b/tests/cluster/two_controllers_test.c
@@ -45,6 +45,7 @@
     }
     standin_store_refuse_endpoint(0, false);
     assert_int_equal(standin_workers_most_copies(), 1);
+    assert_int_equal(standin_workers_restarts(), 0);
 }
 
 /* Polls the jobs in turn for the given seconds. Returns the longest time in seconds for which any job had no answer,
@@ -93,6 +94,7 @@
     assert_true(pair_wait_for_running_task("req-90003/0", 1, 10) && pair_wait_for_running_task("req-90003/1", 1, 10) &&
                 pair_wait_for_running_task("req-90003/2", 1, 10));
     assert_int_equal(standin_workers_most_copies(), 1);
+    assert_int_equal(standin_workers_restarts(), 0);
 }
 
 /* Both controllers are killed with a full backlog and restarted: every accepted job is still known, and every poll is
@@ -112,6 +114,7 @@
     double gap = longest_answer_gap(job_ids, JOBS, 10);
     if (gap >= MAX_ANSWER_GAP_S) fail_msg("a job had no answer for %.1f s", gap);
     assert_int_equal(standin_workers_most_copies(), 1);
+    assert_int_equal(standin_workers_restarts(), 0);
 }
 
 int main(int argc, char **argv) {
--- a/tests/models/directives.pml
+++ b/tests/models/directives.pml
@@ -2,16 +2,19 @@
  * release the attempt, so that the task starts on another machine, and when it may tell the worker to forget it.
  *
  * Starts and forgets reach the worker in commands and in responses to heartbeats. A command may arrive at any time,
- * also after the owner has given up waiting for the answer. The worker has one heartbeat in flight; it carries out the
- * response to it or drops it. A copy of a heartbeat may arrive late. The owner may change: the new owner has a higher
- * fencing token, and messages of the previous owner are still on their way, or still being sent. The owner may raise its
- * token. The worker's lease may expire, which ends the attempt and begins another incarnation.
+ * also after the owner has given up waiting for the answer, and any number of times, also after it was answered. The
+ * worker has one heartbeat in flight; it carries out the response to it or drops it. A copy of a heartbeat may arrive
+ * late. The owner may change: the new owner has a higher fencing token, and messages of the previous owner are still on
+ * their way, or still being sent. The owner may raise its token. The worker's lease may expire, which ends the attempt
+ * and begins another incarnation.
  *
- * Asserted: the attempt does not run on this worker while the task may run on another machine.
+ * Asserted: the attempt does not run on this worker while the task may run on another machine, and does not start again
+ * after the worker has forgotten it.
  *
  * Each of these defines removes one condition, so that the assertion must be violated:
  *   NO_RESPONSE_CONDITION  forgets although a start in a response may be on its way
  *   NO_COMMAND_CONDITION   forgets although a start in a command may be on its way
+ *   ANSWER_ENDS_WAIT       takes the answer to a command for proof that its start cannot arrive any more
  *   NO_TOKEN_CONDITION     forgets or releases although the worker has not shown the owner's fencing token
  *   NO_ABSENCE_CONDITION   takes the answer to a command for proof of absence while a start in a response may be on its
  *                          way
@@ -53,12 +56,15 @@
 byte response_token;
 command commands[COMMANDS];
 bool answer_to_start;
+bool forgotten; /* the worker has carried out a forget in this incarnation */
 
-/* The owner. */
-byte owner_token = 1, known_incarnation, known_sequence, shown_token;
+/* The owner. Its tokens are those from first_token on; it has raised them to owner_token. */
+byte first_token = 1, owner_token = 1, known_incarnation, known_sequence, shown_token;
 bool was_listed, inherited, released, stop_requested, listed_as_ended;
 bool in_flight, start_in_flight, outcome_unknown;
 byte unknown_token, unknown_incarnation;
+bool start_pending; /* the worker may carry out a start that a command under this token and incarnation carried */
+byte start_token, start_incarnation;
 byte response_incarnation, response_sequence; /* of the heartbeat whose response carried a start */
 bool previous_may_start;                      /* the previous owner may still send the start */
 byte previous_token;
@@ -69,14 +75,14 @@
 
 inline carry_out_start() {
   if
-  :: state == ABSENT -> state = RUNNING; assert(!elsewhere)
+  :: state == ABSENT -> state = RUNNING; assert(!elsewhere && !forgotten)
   :: else
   fi
 }
 
 inline carry_out_forget() {
   if
-  :: state == ENDED -> state = ABSENT
+  :: state == ENDED -> state = ABSENT; forgotten = true
   :: else
   fi
 }
@@ -111,7 +117,7 @@
 #ifdef NO_TOKEN_CONDITION
 #define SHOWS_TOKEN true
 #else
-#define SHOWS_TOKEN (shown_token >= owner_token)
+#define SHOWS_TOKEN (shown_token >= first_token)
 #endif
 #ifdef NO_RESPONSE_CONDITION
 #define FORGET_DESPITE_RESPONSE true
@@ -121,7 +127,11 @@
 #ifdef NO_COMMAND_CONDITION
 #define FORGET_DESPITE_COMMAND true
 #else
+#ifdef ANSWER_ENDS_WAIT
 #define FORGET_DESPITE_COMMAND (!outcome_unknown && !start_in_flight)
+#else
+#define FORGET_DESPITE_COMMAND (!start_pending)
+#endif
 #endif
 #define MAY_FORGET (!recorded && listed_as_ended && SHOWS_TOKEN && FORGET_DESPITE_RESPONSE && FORGET_DESPITE_COMMAND)
 #ifdef NO_ABSENCE_CONDITION
@@ -151,7 +161,7 @@
      was_listed = true;
      released = (released || m.state == ENDED)
   :: recorded && m.state == ABSENT && (was_listed || inherited || stop_requested) && !outcome_unknown &&
-     !start_in_flight && (is_heartbeat || ANSWER_PROVES_ABSENCE) -> released = true
+     !start_in_flight && !start_pending && (is_heartbeat || ANSWER_PROVES_ABSENCE) -> released = true
   :: else
   fi
 }
@@ -169,10 +179,15 @@
 #ifdef NO_TOKEN_CONDITION
      :: true ->
 #else
-     :: m.token >= owner_token ->
+     :: m.token >= first_token ->
 #endif
         shown_token = m.token;
         if
+        :: m.token > start_token || m.incarnation > start_incarnation ->
+           start_pending = false; start_token = 0; start_incarnation = 0
+        :: else
+        fi;
+        if
         :: outcome_unknown && !start_in_flight &&
            (m.token > unknown_token || m.incarnation > unknown_incarnation) -> outcome_unknown = false
         :: else
@@ -188,12 +203,16 @@
 inline respond(m, reaches_worker) {
   apply_message(m, true);
   if
-  :: outcome_unknown && !start_in_flight && owner_token <= unknown_token ->
+  :: outcome_unknown && !start_in_flight && owner_token <= unknown_token && owner_token == TOKEN_MAX ->
      if
      :: reaches_worker -> waiting = false
      :: else
      fi
   :: else ->
+     if
+     :: outcome_unknown && !start_in_flight && owner_token <= unknown_token -> owner_token++
+     :: else
+     fi;
      starts = applied && SHOWS_TOKEN && AWAITS_START;
      forgets = applied && MAY_FORGET;
      if
@@ -265,8 +284,8 @@
      fi;
      drop_response() }
   :: atomic { waiting -> waiting = false; drop_response(); clear_message(heartbeat) }
-  /* The owner sends a command: directives, also about other tasks, or a probe. */
-  :: atomic { !in_flight && (shown_token < owner_token || !outcome_unknown) ->
+  /* The owner sends a command: directives, also about other tasks, or a probe, also while an outcome is unknown. */
+  :: atomic { !in_flight ->
      starts = SHOWS_TOKEN && AWAITS_START && !outcome_unknown;
      forgets = MAY_FORGET && !outcome_unknown;
      i = 0;
@@ -288,7 +307,10 @@
         :: starts ->
            outcome_unknown = true;
            unknown_token = owner_token;
-           unknown_incarnation = commands[i].incarnation
+           unknown_incarnation = commands[i].incarnation;
+           start_pending = true;
+           start_token = owner_token;
+           start_incarnation = unknown_incarnation
         :: else
         fi
      :: else
@@ -296,7 +318,7 @@
      i = 0;
      starts = false;
      forgets = false }
-  /* A command arrives, and is answered if the owner waits for the answer. */
+  /* A command arrives, and is answered if the owner waits for the answer. A copy may be left. */
   :: atomic { (commands[0].valid || commands[1].valid) ->
      if
      :: commands[0].valid -> i = 0
@@ -319,7 +341,10 @@
      :: commands[i].awaited && sequence < SEQUENCE_MAX -> write_message(answer); answer_to_start = commands[i].starts
      :: else
      fi;
-     clear_command(commands[i]);
+     if
+     :: clear_command(commands[i])
+     :: commands[i].awaited = false
+     fi;
      i = 0 }
   :: atomic { answer.valid && in_flight ->
      in_flight = false;
@@ -342,15 +367,21 @@
      clear_message(answer) }
   /* The attempt ends; the lease expires. */
   :: state == RUNNING -> state = ENDED
-  :: atomic { incarnation < INCARNATION_MAX -> incarnation++; sequence = 0; state = ABSENT }
+  :: atomic { incarnation < INCARNATION_MAX -> incarnation++; sequence = 0; state = ABSENT; forgotten = false }
+  /* A copy that was left gets lost. */
+  :: atomic { commands[0].valid && !commands[0].awaited -> clear_command(commands[0]) }
+  :: atomic { commands[1].valid && !commands[1].awaited -> clear_command(commands[1]) }
   /* The owner wants the task stopped before its start was seen; raises its token; is replaced. */
   :: atomic { recorded && !was_listed && !stop_requested -> stop_requested = true }
-  :: atomic { outcome_unknown && !in_flight && owner_token <= unknown_token && owner_token < TOKEN_MAX ->
-     owner_token++ }
+  :: atomic { !in_flight && owner_token < TOKEN_MAX -> owner_token++ }
   :: atomic { owner_token < TOKEN_MAX && previous_token == 0 ->
      previous_token = owner_token;
      previous_may_start = AWAITS_START;
      owner_token++;
+     first_token = owner_token;
+     start_pending = false;
+     start_token = 0;
+     start_incarnation = 0;
      known_incarnation = 0;
      known_sequence = 0;
      shown_token = 0;
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -86,7 +86,7 @@
     for (guint i = 0; i < worker->tasks->len; i++) {
         struct standin_task *task = &g_array_index(worker->tasks, struct standin_task, i);
         bool finished = clock_seconds_since(task->started) > task->fetch_s + RUN_S;
-        if (!task->ended && !task->runs_until_stopped && finished) end_task(task, "done");
+        if (!task->ended && !task->runs_until_stopped && finished) end_task(task, task->fails ? "error" : "done");
         cJSON_AddItemToArray(list, task_entry(task));
     }
     return object;
@@ -125,11 +125,13 @@
     return strcmp(directive->verb, "run") == 0 && find_task(worker, directive) < 0;
 }
 
-static void start_task(struct standin_worker *worker, const struct standin_directive *directive, double fetch_s) {
+static void start_task(struct standin_worker *worker, const struct standin_directive *directive,
+                       const struct standin_task_plan *plan) {
     struct standin_task task = {.attempt = directive->attempt,
                                 .started = clock_now(),
                                 .runs_until_stopped = g_str_has_prefix(directive->task, RUN_UNTIL_STOPPED_PREFIX),
-                                .fetch_s = fetch_s};
+                                .fails = plan->fails,
+                                .fetch_s = plan->fetch_s};
     g_strlcpy(task.name, directive->task, sizeof task.name);
     g_array_append_val(worker->tasks, task);
     char *attempt = g_strdup_printf("%s:%lld", task.name, (long long)task.attempt);
@@ -137,9 +139,10 @@
     log_start(&task);
 }
 
-bool standin_worker_execute(struct standin_worker *worker, const struct standin_directive *directive, double fetch_s) {
+bool standin_worker_execute(struct standin_worker *worker, const struct standin_directive *directive,
+                            const struct standin_task_plan *plan) {
     if (standin_worker_would_start(worker, directive)) {
-        start_task(worker, directive, fetch_s);
+        start_task(worker, directive, plan);
         return true;
     }
     int index = find_task(worker, directive);
--- a/tests/standin/worker.h
+++ b/tests/standin/worker.h
@@ -18,7 +18,7 @@
     char name[STANDIN_TASK_NAME_BYTES];
     int64_t attempt;
     bool ended;
-    bool runs_until_stopped;
+    bool runs_until_stopped, fails;
     char cause[STANDIN_TASK_CAUSE_BYTES];
     struct timespec started;
     double fetch_s; /* time to fetch the image */
@@ -59,8 +59,14 @@
 struct standin_directive standin_directive_read(const cJSON *object);
 /* Whether the directive starts an attempt that the machine does not have in any state. */
 bool standin_worker_would_start(const struct standin_worker *worker, const struct standin_directive *directive);
-/* Executes a directive. Returns true if it started a task; fetching its image takes fetch_s. */
-bool standin_worker_execute(struct standin_worker *worker, const struct standin_directive *directive, double fetch_s);
+/* What happens to a task that is started. */
+struct standin_task_plan {
+    double fetch_s; /* time to fetch the image */
+    bool fails;     /* the task ends with an error */
+};
+/* Executes a directive. Returns true if it started a task, which then follows the plan. */
+bool standin_worker_execute(struct standin_worker *worker, const struct standin_directive *directive,
+                            const struct standin_task_plan *plan);
 
 bool standin_task_has_image(const struct standin_task *task);
 #endif
--- a/tests/standin/worker_messages.c
+++ b/tests/standin/worker_messages.c
@@ -13,7 +13,6 @@
 
 #define KEY_BYTES 64
 #define RECORD_BYTES 400
-#define MESSAGE_BYTES 600
 
 struct machine *worker_add_machine(const char *id, const char *job_id, const char *allocations, bool inherited) {
     char key[KEY_BYTES], record[RECORD_BYTES];
@@ -48,10 +47,10 @@
 
 bool worker_apply_message(struct machine *machine, int incarnation, int sequence, int64_t fencing_token,
                           const char *tasks, enum worker_channel channel) {
-    char text[MESSAGE_BYTES];
-    g_snprintf(text, sizeof text, "{\"tenure\":%d,\"seq\":%d,\"fence\":%lld,\"warning_s\":null,\"tasks\":[%s]}",
-               incarnation, sequence, (long long)fencing_token, tasks);
+    char *text = g_strdup_printf("{\"tenure\":%d,\"seq\":%d,\"fence\":%lld,\"warning_s\":null,\"tasks\":[%s]}",
+                                 incarnation, sequence, (long long)fencing_token, tasks);
     cJSON *message = cJSON_Parse(text);
+    g_free(text);
     assert_non_null(message);
     struct heartbeat heartbeat = codec_read_heartbeat(message);
     bool applied = reconciliation_apply(machine, &heartbeat, channel);
--- a/tests/standin/workers.c
+++ b/tests/standin/workers.c
@@ -9,6 +9,7 @@
 #include <time.h>
 
 #include "clock/clock.h"
+#include "command_copies.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "http/status.h"
@@ -25,6 +26,7 @@
 #define HEARTBEAT_TIMEOUT_MS 1000
 #define NO_LEASE_S 1e9
 #define HTTP_INTERNAL_ERROR 500
+#define FAILS_ONCE_PREFIX "req-7" /* tasks with this prefix end with an error when they are started first */
 
 /* A command that is executed when its machine's fault ends. */
 struct delayed_command {
@@ -62,7 +64,8 @@
     const char *fetch_prefix;
     double fetch_s;
     GHashTable *starts_of; /* task -> struct task_starts */
-    int starts, most_copies, peak, delayed_responses;
+    int starts, most_copies, peak, delayed_responses, longest_list;
+    struct standin_copy_counts command_copies;
     const char *peak_prefix;
 } workers = {.lock = PTHREAD_MUTEX_INITIALIZER, .first_port = FIRST_PORT, .lease_s = NO_LEASE_S};
 
@@ -114,13 +117,20 @@
 
 /* Execution of directives and commands. These functions are called with the lock held. */
 
+static struct standin_task_plan plan_task(const char *task) {
+    bool slow = workers.fetch_prefix && g_str_has_prefix(task, workers.fetch_prefix);
+    return (struct standin_task_plan){
+        .fetch_s = slow ? workers.fetch_s : 0,
+        .fails = g_str_has_prefix(task, FAILS_ONCE_PREFIX) && !g_hash_table_contains(workers.starts_of, task)};
+}
+
 static void execute_directives(struct standin_worker *worker, const cJSON *object) {
     const cJSON *entry;
     if (!standin_worker_accept_token(worker, object)) return;
     cJSON_ArrayForEach(entry, cJSON_GetObjectItem(object, "orders")) {
         struct standin_directive directive = standin_directive_read(entry);
-        bool slow = workers.fetch_prefix && g_str_has_prefix(directive.task, workers.fetch_prefix);
-        if (standin_worker_execute(worker, &directive, slow ? workers.fetch_s : 0)) record_start(directive.task);
+        struct standin_task_plan plan = plan_task(directive.task);
+        if (standin_worker_execute(worker, &directive, &plan)) record_start(directive.task);
     }
 }
 
@@ -156,6 +166,18 @@
     }
 }
 
+static void deliver_command_copies(void) {
+    struct command_copy *copy;
+    while ((copy = command_copies_take_due())) {
+        if (copy->worker->alive && execute_command(copy->worker, copy->command)) {
+            workers.command_copies.carried_out++;
+        } else {
+            workers.command_copies.refused++;
+        }
+        command_copy_free(copy);
+    }
+}
+
 static bool has_fault(const struct standin_worker *worker, enum standin_worker_fault fault) {
     pthread_mutex_lock(&workers.lock);
     bool has = worker->fault == fault;
@@ -174,6 +196,7 @@
     pthread_mutex_lock(&workers.lock);
     if (receives_commands(worker)) {
         accepted = execute_command(worker, command);
+        if (accepted) command_copies_add(worker, command);
         heartbeat = standin_worker_heartbeat(worker);
     } else {
         delay_command(worker, command);
@@ -221,6 +244,7 @@
     standin_worker_check_lease(worker, workers.lease_s);
     if (worker->fault == STANDIN_PARTITIONED) worker->controller = 0;
     cJSON *object = standin_worker_heartbeat(worker);
+    workers.longest_list = MAX(workers.longest_list, (int)worker->tasks->len);
     heartbeat.text = cJSON_PrintUnformatted(object);
     heartbeat.incarnation = worker->incarnation;
     heartbeat.alive = worker->alive;
@@ -320,6 +344,9 @@
     for (;;) {
         char url[URL_BYTES];
         long status;
+        pthread_mutex_lock(&workers.lock);
+        deliver_command_copies();
+        pthread_mutex_unlock(&workers.lock);
         struct heartbeat_copy *copy = next_copy(url);
         if (!copy) {
             clock_sleep(clock_from_seconds(COPIES_INTERVAL_S));
@@ -436,6 +463,23 @@
     pthread_mutex_unlock(&workers.lock);
 }
 
+void standin_workers_copy_commands(const struct standin_copy_delay *delay) {
+    pthread_mutex_lock(&workers.lock);
+    if (delay) {
+        command_copies_start(delay);
+    } else {
+        command_copies_stop();
+    }
+    pthread_mutex_unlock(&workers.lock);
+}
+
+void standin_workers_deliver_command_copies(void) {
+    pthread_mutex_lock(&workers.lock);
+    command_copies_make_due();
+    deliver_command_copies();
+    pthread_mutex_unlock(&workers.lock);
+}
+
 void standin_workers_report_to(int controller) {
     pthread_mutex_lock(&workers.lock);
     for (int i = 0; i < workers.n_machines; i++) workers.machines[i].controller = controller;
@@ -515,6 +559,21 @@
     return restarts;
 }
 
+struct standin_copy_counts standin_workers_command_copies(void) {
+    pthread_mutex_lock(&workers.lock);
+    struct standin_copy_counts counts = workers.command_copies;
+    pthread_mutex_unlock(&workers.lock);
+    return counts;
+}
+
+int standin_workers_longest_list(void) {
+    pthread_mutex_lock(&workers.lock);
+    int longest = workers.longest_list;
+    workers.longest_list = 0;
+    pthread_mutex_unlock(&workers.lock);
+    return longest;
+}
+
 int standin_workers_delayed_responses(void) {
     pthread_mutex_lock(&workers.lock);
     int delayed = workers.delayed_responses;
--- a/tests/standin/workers.h
+++ b/tests/standin/workers.h
@@ -54,6 +54,21 @@
 void standin_workers_set_machine_unreachable(int index);
 /* Sends a copy of every heartbeat to the next controller, so many seconds later; 0: no copies. */
 void standin_workers_duplicate_heartbeats(double after_s);
+/* How long after a command was answered its copy arrives, in seconds, chosen at random with the seed. */
+struct standin_copy_delay {
+    double shortest_s, longest_s;
+    unsigned seed;
+};
+/* Delivers every command that starts tasks once more, to the same worker, after the worker has answered it; NULL: makes
+ * no more copies. */
+void standin_workers_copy_commands(const struct standin_copy_delay *delay);
+/* Delivers all copies of commands now that were made so far. */
+void standin_workers_deliver_command_copies(void);
+/* Number of copies of commands that workers have carried out, and that they have refused. */
+struct standin_copy_counts {
+    int carried_out, refused;
+};
+struct standin_copy_counts standin_workers_command_copies(void);
 /* Makes workers send their heartbeats to this controller. A worker changes to another controller when a heartbeat gets
  * no answer, or an answer other than 200. */
 void standin_workers_report_to(int controller);
@@ -74,6 +89,8 @@
 int standin_workers_starts_by_prefix(const char *prefix);
 /* Number of starts of an attempt on a machine on which the same attempt had been started before. */
 int standin_workers_restarts(void);
+/* The highest number of tasks, ended ones included, that one machine has listed in a heartbeat since the last call. */
+int standin_workers_longest_list(void);
 /* Number of responses to heartbeats that were delayed by STANDIN_STARTS_DELAYED. */
 int standin_workers_delayed_responses(void);
 /* When the task was first started; zero: never. */
