workers: a status line with heartbeats, commands, token raises and waiting forgets

The log told neither how many heartbeats and commands a controller exchanges with its workers nor how long their lists of tasks are, so that the cost of forgetting ended attempts behind a raise of the token could not be read from it. A line every 10 s now gives heartbeats, commands, token probes and raises a second, the ended tasks that wait to be forgotten, and the longest list. No behaviour changes.

--- a/src/service/status.c
+++ b/src/service/status.c
@@ -6,6 +6,7 @@
 #include "../machines/machines.h"
 #include "../quota/quota.h"
 #include "../store/store.h"
+#include "../workers/workers.h"
 #include "service.h"
 
 #define STATUS_INTERVAL_S 10.0 /* between calls of service_log_status */
@@ -22,6 +23,7 @@
         store_budget_rate_factor(STORE_RATE_REQUESTS), store_budget_rate_factor(STORE_RATE_CHANGES),
         clock_seconds_since(store_last_read_sent()), latency.responses, latency.median_ms, latency.p95_ms);
     quota_log_status();
+    workers_log_status(STATUS_INTERVAL_S);
     store_unlock();
     requests_sent_before = requests_sent;
 }
--- a/src/workers/dispatcher.c
+++ b/src/workers/dispatcher.c
@@ -12,6 +12,7 @@
 #include "codec.h"
 #include "commands.h"
 #include "directives.h"
+#include "metrics.h"
 
 #define DISPATCH_INTERVAL_S 1     /* longest wait for a wakeup between two passes over the machines */
 #define DISPATCH_PAUSE_S 0.02     /* pause after each pass, so that directives due in the meantime are sent together */
@@ -90,6 +91,7 @@
 /* Queues a command of this kind to the machine. Takes ownership of the directives. */
 static void send_command(struct machine *machine, enum command_kind kind, cJSON *directives) {
     struct command *command = command_new_fenced(kind, machine);
+    metrics_count(kind == COMMAND_TOKEN_PROBE ? METRIC_TOKEN_PROBES : METRIC_COMMANDS);
     command->has_start = codec_has_start(directives);
     command->owned_token = machine->owned_token;
     command->decided_at = clock_now();
--- a/src/workers/heartbeat.c
+++ b/src/workers/heartbeat.c
@@ -14,6 +14,7 @@
 #include "../store/store.h"
 #include "codec.h"
 #include "directives.h"
+#include "metrics.h"
 #include "proxy.h"
 #include "reconciliation.h"
 #include "token_raise.h"
@@ -101,6 +102,7 @@
 
 /* Applies the heartbeat of an owned machine and responds to it. */
 static struct response apply_and_respond(struct machine *machine, const struct heartbeat *heartbeat) {
+    metrics_count(METRIC_HEARTBEATS);
     bool applied = reconciliation_apply(machine, heartbeat, CHANNEL_HEARTBEAT);
     if (applied && heartbeat->fencing_token >= machines_fencing_token(machine)) machines_add_occupancy_sample(machine);
     if (!token_raise_rule_out_unknown_start(machine)) return retry_response();
--- a/src/workers/token_raise.c
+++ b/src/workers/token_raise.c
@@ -7,6 +7,7 @@
 #include "../logging/logging.h"
 #include "../machines/machines.h"
 #include "directives.h"
+#include "metrics.h"
 #include "pending_starts.h"
 
 #define FORGETS_PER_RAISE 64 /* with so many attempts waiting to be forgotten, the token is raised at once */
@@ -45,6 +46,7 @@
         if (urgent && !machine->commands.needs_token_raise) machines_request_tokens(machine);
         return;
     }
+    metrics_count(METRIC_TOKEN_RAISES);
     log_info("machine %s: token raised to %lld, %d ended attempts wait to be forgotten", machine->id,
              (long long)machines_current_token(machine), forgets);
 }
@@ -57,6 +59,7 @@
     }
     machine->commands.needs_token_probe = machine->commands.send_pending = true;
     events_publish(EVENT_DISPATCH);
+    metrics_count(METRIC_TOKEN_RAISES);
     log_info("machine %s: token raised to %lld, the outcome of a start is unknown", machine->id,
              (long long)machines_current_token(machine));
     return true;
--- a/src/workers/workers.c
+++ b/src/workers/workers.c
@@ -6,6 +6,7 @@
 #include "commands.h"
 #include "dispatcher.h"
 #include "heartbeat.h"
+#include "metrics.h"
 #include "proxy.h"
 #include "reconciliation.h"
 #include "senders.h"
@@ -20,6 +21,8 @@
     dispatcher_init();
 }
 
+void workers_log_status(double interval_s) { metrics_log_status(interval_s); }
+
 void workers_start(void) {
     dispatcher_start();
     senders_start();
--- a/src/workers/workers.h
+++ b/src/workers/workers.h
@@ -8,6 +8,9 @@
 
 /* Called once, before the threads are started. Keeps the pointer to the settings. */
 void workers_init(const struct settings *settings);
+/* Logs figures about the messages exchanged with workers since the last call, interval_s seconds ago. Called with
+ * store_lock held. */
+void workers_log_status(double interval_s);
 /* Starts the dispatcher and the senders. */
 void workers_start(void);
 /* Replies to a request if its path is that of heartbeats; for any other path, returns false without a reply. Called on
