tests: late copies of heartbeats in a module of their own

The stand-in of the workers had grown by the copies of commands. Copies of heartbeats now have a module beside that of the copies of commands, and one function delivers both. No behaviour changes; the cases of compound_failures that use either pass.

--- a/tests/standin/workers.c
+++ b/tests/standin/workers.c
@@ -10,6 +10,7 @@
 
 #include "clock/clock.h"
 #include "command_copies.h"
+#include "heartbeat_copies.h"
 #include "http/client.h"
 #include "http/server.h"
 #include "http/status.h"
@@ -34,13 +35,6 @@
     cJSON *command;
 };
 
-/* A copy of a heartbeat that is sent later. */
-struct heartbeat_copy {
-    char *text;
-    int original_to; /* index of the controller that got the original */
-    struct timespec due;
-};
-
 /* When a task was first started, and how often. */
 struct task_starts {
     struct timespec first;
@@ -59,8 +53,6 @@
     double lease_s;
     bool unreachable;
     GPtrArray *delayed_commands; /* struct delayed_command */
-    GQueue *copies;              /* struct heartbeat_copy, in the order in which they are due */
-    double copy_after_s;
     const char *fetch_prefix;
     double fetch_s;
     GHashTable *starts_of; /* task -> struct task_starts */
@@ -229,15 +221,6 @@
     g_snprintf(url, URL_BYTES, "http://%s/checkin", workers.controllers[controller].address);
 }
 
-/* With the lock held. */
-static void queue_copy(const char *text, int original_to) {
-    struct heartbeat_copy *copy = g_new0(struct heartbeat_copy, 1);
-    copy->text = g_strdup(text);
-    copy->original_to = original_to;
-    copy->due = clock_now_plus(clock_from_seconds(workers.copy_after_s));
-    g_queue_push_tail(workers.copies, copy);
-}
-
 static struct heartbeat prepare_heartbeat(struct standin_worker *worker) {
     struct heartbeat heartbeat;
     pthread_mutex_lock(&workers.lock);
@@ -250,7 +233,7 @@
     heartbeat.alive = worker->alive;
     heartbeat.sent = sends_heartbeats(worker);
     heartbeat_url(heartbeat.url, worker->controller);
-    if (heartbeat.sent && workers.copy_after_s > 0) queue_copy(heartbeat.text, worker->controller);
+    if (heartbeat.sent) heartbeat_copies_add(heartbeat.text, worker->controller, workers.n_controllers);
     pthread_mutex_unlock(&workers.lock);
     cJSON_Delete(object);
     return heartbeat;
@@ -324,38 +307,27 @@
     return NULL;
 }
 
-/* Returns the next copy that is due; NULL: no copy is due. Writes the address to send the copy to into url: the
- * controller whose index follows the index of the controller that got the original. */
-static struct heartbeat_copy *next_copy(char *url) {
+/* Delivers the copies of commands that are due, and sends the copy of a heartbeat that is due first. Returns false if
+ * no heartbeat was due. */
+static bool deliver_copies(struct http_client *client) {
+    char url[URL_BYTES];
+    long status;
     pthread_mutex_lock(&workers.lock);
-    struct heartbeat_copy *copy = g_queue_peek_head(workers.copies);
-    if (copy && clock_seconds_since(copy->due) < 0) copy = NULL;
-    if (copy) {
-        g_queue_pop_head(workers.copies);
-        heartbeat_url(url, (copy->original_to + 1) % workers.n_controllers);
-    }
+    deliver_command_copies();
+    struct heartbeat_copy *copy = heartbeat_copies_take_due();
+    if (copy) heartbeat_url(url, copy->controller);
     pthread_mutex_unlock(&workers.lock);
-    return copy;
+    if (!copy) return false;
+    http_call(client, "POST", url, copy->text, HEARTBEAT_TIMEOUT_MS, &status, NULL);
+    heartbeat_copy_free(copy);
+    return true;
 }
 
 static void *copies_main(void *arg) {
     (void)arg;
     struct http_client *client = http_client_new();
-    for (;;) {
-        char url[URL_BYTES];
-        long status;
-        pthread_mutex_lock(&workers.lock);
-        deliver_command_copies();
-        pthread_mutex_unlock(&workers.lock);
-        struct heartbeat_copy *copy = next_copy(url);
-        if (!copy) {
-            clock_sleep(clock_from_seconds(COPIES_INTERVAL_S));
-            continue;
-        }
-        http_call(client, "POST", url, copy->text, HEARTBEAT_TIMEOUT_MS, &status, NULL);
-        g_free(copy->text);
-        g_free(copy);
-    }
+    for (;;)
+        if (!deliver_copies(client)) clock_sleep(clock_from_seconds(COPIES_INTERVAL_S));
     return NULL;
 }
 
@@ -364,7 +336,6 @@
 void standin_workers_start(const char *controller) {
     workers.starts_of = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     workers.delayed_commands = g_ptr_array_new();
-    workers.copies = g_queue_new();
     standin_workers_add_controller(NULL, controller);
     sync_start_thread(copies_main, NULL);
 }
@@ -459,7 +430,7 @@
 
 void standin_workers_duplicate_heartbeats(double after_s) {
     pthread_mutex_lock(&workers.lock);
-    workers.copy_after_s = after_s;
+    heartbeat_copies_set_delay(after_s);
     pthread_mutex_unlock(&workers.lock);
 }
 
