scheduler: at most four writes in a transaction whose records need not be written together

Cause: a round put up to 16 changes into one transaction, 9 of them for arriving machines. While all controllers together use up the state service's 25 changes a second, it rejects nearly every transaction of five changes and more, and the owner's own budget lets one pass only after seconds without smaller ones. The rejected owner waits, its jobs wait, other shards pass it more machines, and its transaction grows: the state keeps itself up. Class: retry of a request that cannot succeed under the load that made it necessary.

Change: records that are independent share a transaction of at most four writes; three machines arrive, or two leave, in one. What has to be atomic stays whole.

--- a/src/scheduler/round.h
+++ b/src/scheduler/round.h
@@ -18,6 +18,10 @@
 /* With a smaller write budget a round decides nothing, so that the next one puts more changes into each write. */
 #define ROUND_WRITES_MIN 2
 
+/* Records that need not be written together share a transaction of at most so many writes. While all controllers
+ * together use up the store's rate of changes, the store rejects most larger ones. */
+#define ROUND_TRANSACTION_WRITES_MAX 4
+
 struct scheduling_round {
     int shard;
     GArray *planned_tasks;           /* struct planned_task; a job's tasks are adjacent */
--- a/src/scheduler/scheduler_test.c
+++ b/src/scheduler/scheduler_test.c
@@ -133,6 +133,38 @@
     store_unlock();
 }
 
+/* Guards against a shard that writes nothing for minutes, because the store, whose rate of changes is used up, rejects
+ * each transaction of its arriving machines and allocations. */
+static void transactions_are_small_while_machines_arrive(void **state) {
+    (void)state;
+    enum { ARRIVALS = 8, JOBS = 6, SMALL_TRANSACTION_WRITES = 4 };
+    char key[32], job_id[32];
+    store_lock();
+    for (int i = 0; i < JOBS; i++) {
+        g_snprintf(key, sizeof key, "i-82%d", i);
+        shard_owner_add_machine(key, "za", false);
+        g_snprintf(job_id, sizeof job_id, "req-51%03d", i);
+        shard_owner_add_job(job_id, "batch", "normal", 1, 8, 1, false, false, 10);
+    }
+    for (int i = 0; i < ARRIVALS; i++) {
+        g_snprintf(key, sizeof key, "machine/i-%06d", 830 + i);
+        shard_owner_put(key,
+                        "{\"share\":0,\"fence\":1,\"address\":\"127.0.0.1:9\",\"flavour\":\"g16\",\"site\":\"za\","
+                        "\"spot\":false,\"born\":1}");
+    }
+    struct scheduling_round *round = scheduling_round_decide(0, 20);
+    int writes = round_writes(round), largest = largest_transaction(round);
+    scheduling_round_free(round);
+    for (int i = 0; i < ARRIVALS; i++) {
+        g_snprintf(key, sizeof key, "machine/i-%06d", 830 + i);
+        shard_owner_put(key, NULL);
+    }
+    shard_owner_clear();
+    store_unlock();
+    assert_in_range(writes, 1 + JOBS, 20);
+    assert_in_range(largest, 1, SMALL_TRANSACTION_WRITES);
+}
+
 /* Scale-out requests machines for unplaced tasks, at most 50 in a request, and none while enough are booting. */
 static void scale_out_requests_machines_for_unplaced_tasks(void **state) {
     (void)state;
@@ -410,6 +442,7 @@
     const struct CMUnitTest tests[] = {cmocka_unit_test(gang_is_placed_whole_or_not_at_all),
                                        cmocka_unit_test(job_past_its_wait_limit_goes_first),
                                        cmocka_unit_test(round_stays_within_write_budget),
+                                       cmocka_unit_test(transactions_are_small_while_machines_arrive),
                                        cmocka_unit_test(scale_out_requests_machines_for_unplaced_tasks),
                                        cmocka_unit_test(shard_with_gangs_keeps_spare_machines),
                                        cmocka_unit_test(silent_machines_are_returned_unless_their_zone_is_unreachable),
--- a/src/scheduler/stage_pages.c
+++ b/src/scheduler/stage_pages.c
@@ -86,7 +86,7 @@
     bool transfer = rebalancing_transfer_allowed(machine);
     if (!transfer && !machine->commands.needs_token_raise) return;
     int writes = (transfer ? 1 : 0) + ((plan->needs[page] & PAGE_RAISE_TOKENS) ? 0 : 1);
-    if (plan->raise_writes + writes > scheduler_settings->txn_operations_max) return;
+    if (plan->raise_writes + writes > transactions_writes_max()) return;
     plan->raise_writes += writes;
     machine->round.next_fencing_token = plan->tokens.first;
     machine->round.leaves_page = transfer;
@@ -115,7 +115,7 @@
             plan_machine(plan, machine);
             continue;
         }
-        if (n_arrivals++ >= scheduler_settings->txn_operations_max / 2) continue;
+        if (1 + n_arrivals++ >= transactions_writes_max()) continue; /* the page and the arrivals' own records */
         machine->round.next_page = machines_assign_page(&plan->usage, machine->id);
         if (machine->round.next_page >= 0) plan->needs[machine->round.next_page] |= PAGE_WRITE_NOW;
     }
@@ -166,8 +166,8 @@
 
 /* Stages token raises and transfers, together with the new fencing counter, in one transaction. */
 static void stage_token_raises(struct scheduling_round *round, struct page_plan *plan) {
-    struct store_txn *transaction = transactions_reserve(round, scheduler_settings->txn_operations_max, 3);
-    round->writes_left += scheduler_settings->txn_operations_max - plan->raise_writes;
+    struct store_txn *transaction = transactions_reserve(round, transactions_writes_max(), 3);
+    round->writes_left += transactions_writes_max() - plan->raise_writes;
     store_txn_compare(transaction, STORE_KEY_FENCING_COUNTER, store_key_revision(STORE_KEY_FENCING_COUNTER));
     store_txn_put(transaction, STORE_KEY_FENCING_COUNTER, cJSON_CreateNumber((double)plan->tokens.last), 0);
     for (int page = 0; page < MACHINE_PAGES_MAX; page++) {
--- a/src/scheduler/transactions.c
+++ b/src/scheduler/transactions.c
@@ -15,12 +15,14 @@
     g_free(transaction);
 }
 
+int transactions_writes_max(void) { return MIN(ROUND_TRANSACTION_WRITES_MAX, scheduler_settings->txn_operations_max); }
+
 static bool has_room(const struct scheduling_round *round, const struct store_txn *transaction, int writes,
                      int comparisons) {
-    int writes_max = scheduler_settings->txn_operations_max;
+    int comparisons_max = scheduler_settings->txn_operations_max * COMPARISONS_MAX_PER_WRITE;
     if (round->one_record_per_transaction && transaction->n_operations > 0) return false;
-    return transaction->n_operations + writes <= writes_max &&
-           cJSON_GetArraySize(transaction->comparisons) + comparisons <= writes_max * COMPARISONS_MAX_PER_WRITE;
+    return transaction->n_operations + writes <= transactions_writes_max() &&
+           cJSON_GetArraySize(transaction->comparisons) + comparisons <= comparisons_max;
 }
 
 struct store_txn *transactions_reserve(struct scheduling_round *round, int writes, int comparisons) {
--- a/src/scheduler/transactions.h
+++ b/src/scheduler/transactions.h
@@ -7,6 +7,8 @@
 
 #include "round.h"
 
+/* Returns how many writes a transaction of records that need not be written together may hold. */
+int transactions_writes_max(void);
 /* Returns the round's last transaction, or a new one if the last has no room for so many more writes and comparisons.
  * Deducts the writes from the round's budget. A new transaction compares the mod revision of the shard's record, so it
  * fails if that record has changed. The round owns the transaction. */
