api: log and count refused requests with reason, field and sizes

The log of the controller could not tell the reason: a refusal left no line and no count.

Each refusal is counted by its reason; the counts are in the status lines. A refusal with 400 or 422 also has a line with status, reason, field, bytes received, bytes that would be stored and the limit.

--- a/src/api/responses.h
+++ b/src/api/responses.h
@@ -39,6 +39,7 @@
     REFUSAL_POLL_EXPIRED,
     REFUSAL_CANCELLATION_UNDECIDED,
     REFUSAL_PREREQUISITE_CANCELLED,
+    REFUSAL_REASONS /* number of reasons */
 };
 
 #define REFUSAL_SUBJECT_SIZE 64
@@ -48,6 +49,7 @@
 struct refusal {
     enum refusal_reason reason;
     char subject[REFUSAL_SUBJECT_SIZE]; /* used only by the reasons with a subject above */
+    size_t record_bytes;                /* size of the job's record in bytes; 0: it was not computed */
 };
 
 /* Returns a refusal whose text names the subject. */
@@ -57,6 +59,8 @@
 struct refusal refusal_from_prerequisites(struct prerequisites_check check);
 /* Returns the HTTP status of a refusal. */
 enum http_status refusal_status(enum refusal_reason reason);
+/* Returns the name of a reason, for the log. */
+const char *refusal_name(enum refusal_reason reason);
 /* Writes the text for the user to a buffer of n bytes; REFUSAL_TEXT_SIZE is enough. */
 void refusal_text(const struct refusal *refusal, char *text, size_t n);
 
--- a/src/api/submit.c
+++ b/src/api/submit.c
@@ -64,8 +64,10 @@
 
 static void queue_submission(struct api_request *request, const cJSON *submission) {
     request->spec_text = cJSON_PrintUnformatted(submission);
-    if (!is_refused(request) && jobs_record_bytes(request->spec_text) > jobs_record_bytes_max())
+    size_t record_bytes = jobs_record_bytes(request->spec_text);
+    if (!is_refused(request) && record_bytes > jobs_record_bytes_max())
         request->refusal = refusal_with_subject(REFUSAL_RECORD_TOO_LARGE, largest_field(submission));
+    request->refusal.record_bytes = record_bytes;
     batch_enqueue(request);
 }
 
--- a/src/service/status.c
+++ b/src/service/status.c
@@ -1,5 +1,6 @@
 /* Periodic status lines in the log: the load of this controller, its requests to the store and its response times. */
 #include "../api/latency.h"
+#include "../api/refusals.h"
 #include "../clock/clock.h"
 #include "../jobs/jobs.h"
 #include "../logging/logging.h"
@@ -43,4 +44,5 @@
 void service_log_status(void) {
     log_load();
     log_writes();
+    refusals_log_status();
 }
