A message is judged by what its receiver uses alone: unknown fields are skipped

Jobs with nested unknown fields or lone surrogates got 400; a name that equals a known one up to a zero gave a job another id; the same kinds of fields in heartbeats, the state service's and the cloud's answers left jobs undone.

Cause: the record held the submission as it was sent, so its size check refused a job for fields that the service does not use; and every receiver parsed messages whole with a reader of C strings that goes 1,000 levels deep. Class: acceptance judges a message by what it does not use.

Submissions keep the known fields only. - A record has the known fields alone, in one canonical form. Nulls are left out, lists have no duplicates.

--- a/src/api/refusals.c
+++ b/src/api/refusals.c
@@ -36,9 +36,10 @@
     char *subject = g_strescape(refusal->subject, NULL);
     int length = snprintf(line, n, "request refused: %d %s, subject \"%s\", %zu bytes received",
                           (int)refusal_status(refusal->reason), refusal_name(refusal->reason), subject, bytes_received);
-    if (refusal->record_bytes && (size_t)length < n)
+    if (refusal->record_bytes && (size_t)length < n) {
         snprintf(line + length, n - (size_t)length, ", %zu bytes to be stored, limit %zu", refusal->record_bytes,
                  jobs_record_bytes_max());
+    }
     g_free(subject);
 }
 
--- a/src/api/request.h
+++ b/src/api/request.h
@@ -22,7 +22,7 @@
     struct timespec arrived_at;
 
     /* Set for submissions only. */
-    char *spec_text;        /* JSON text to be recorded; allocated by cJSON */
+    char *spec_text;        /* canonical JSON text to be recorded, allocated by cJSON; NULL: refused */
     int team;               /* index in the settings; -1: unknown */
     char **prerequisites;   /* NULL-terminated list of job ids; NULL: none */
     struct refusal refusal; /* the response, unless a job with this id was already accepted */
--- a/src/api/responses_test.c
+++ b/src/api/responses_test.c
@@ -53,7 +53,7 @@
     assert_refusal(refusal_with_subject(REFUSAL_FIELD_INVALID, "uid"), HTTP_BAD_REQUEST, "uid: missing or invalid");
 }
 
-/* Users may add fields with names of any length, so the text has only the first 40 bytes of a name. */
+/* The text has only the first 40 bytes of a name, so that it fits its buffer whatever the name. */
 static void long_field_name_is_truncated(void **state) {
     (void)state;
     char *name = g_strnfill(100, 'n'), *shown_name = g_strnfill(40, 'n');
--- a/src/api/submit.c
+++ b/src/api/submit.c
@@ -11,6 +11,7 @@
 #include "../jobs/job_spec.h"
 #include "../jobs/jobs.h"
 #include "../json/json.h"
+#include "../json/reader.h"
 #include "../machine_types/machine_types.h"
 #include "../quota/quota.h"
 #include "batch.h"
@@ -46,7 +47,7 @@
     return decision;
 }
 
-/* Returns the name of the field with the longest value, or "body" if there are no fields. */
+/* Returns the name of the known field with the longest value, or "body" if there are no fields. */
 static const char *largest_field(const cJSON *submission) {
     const char *largest = "body";
     size_t max_length = 0;
@@ -62,12 +63,17 @@
     return largest;
 }
 
-static void queue_submission(struct api_request *request, const cJSON *submission) {
-    request->spec_text = cJSON_PrintUnformatted(submission);
+/* Sets the text to be recorded, and refuses the submission if its record would be too large. */
+static void check_record_size(struct api_request *request, const cJSON *submission) {
+    request->spec_text = job_spec_canonical_text(submission);
     size_t record_bytes = jobs_record_bytes(request->spec_text);
-    if (!is_refused(request) && record_bytes > jobs_record_bytes_max())
-        request->refusal = refusal_with_subject(REFUSAL_RECORD_TOO_LARGE, largest_field(submission));
+    if (record_bytes <= jobs_record_bytes_max()) return;
+    request->refusal = refusal_with_subject(REFUSAL_RECORD_TOO_LARGE, largest_field(submission));
     request->refusal.record_bytes = record_bytes;
+}
+
+static void queue_submission(struct api_request *request, const cJSON *submission) {
+    if (!is_refused(request)) check_record_size(request, submission);
     batch_enqueue(request);
 }
 
@@ -102,6 +108,13 @@
     }
 }
 
+/* Returns the known fields of a submission, or NULL if the body is not JSON. What the service does not use must not
+ * have any effect, so unknown fields are not even kept here. */
+static cJSON *read_known_fields(const char *body, size_t length) {
+    if (!g_utf8_validate_len(body, length, NULL)) return NULL;
+    return json_read_members(body, length, job_spec_field_names());
+}
+
 void submit_receive(struct http_request *http) {
     if (http_body_too_large(http)) {
         respond_refusal_reason(http, REFUSAL_BODY_TOO_LARGE);
@@ -109,7 +122,7 @@
     }
     size_t length;
     const char *body = http_body(http, &length);
-    cJSON *submission = cJSON_ParseWithLength(body, length);
+    cJSON *submission = read_known_fields(body, length);
     receive_parsed(http, submission);
     cJSON_Delete(submission);
 }
--- a/src/http/client.c
+++ b/src/http/client.c
@@ -4,6 +4,8 @@
 #include <glib.h>
 #include <string.h>
 
+#include "../json/reader.h"
+
 #define CONNECT_TIMEOUT_MAX_MS 1500L
 #define CACHED_CONNECTIONS_MAX 4L
 #define RECEIVE_BUFFER_BYTES 16384L
@@ -76,7 +78,7 @@
         return bytes_sent <= 0 ? HTTP_NOT_SENT : HTTP_UNKNOWN;
     }
     curl_easy_getinfo(client->curl, CURLINFO_RESPONSE_CODE, status);
-    if (response) *response = cJSON_ParseWithLength(client->response_body->str, client->response_body->len);
+    if (response) *response = json_read(client->response_body->str, client->response_body->len);
     return HTTP_ANSWERED;
 }
 
--- a/src/jobs/job_record.c
+++ b/src/jobs/job_record.c
@@ -58,13 +58,14 @@
 
 /* ---- Writing ---- */
 
-/* Takes ownership of the submission. */
+/* Frees the submission. The record has its known fields only. */
 static cJSON *new_record_value(cJSON *submission, enum job_state state, double submitted_at, int shard) {
     bool has_prerequisites = job_spec_names_prerequisites(submission);
     int team = job_spec_read_team(submission, settings);
     cJSON *value = cJSON_CreateObject();
     cJSON_AddItemToObject(value, has_prerequisites ? FIELD_SUBMISSION_WITH_PREREQUISITES : FIELD_SUBMISSION,
-                          submission);
+                          job_spec_canonical(submission));
+    cJSON_Delete(submission);
     cJSON_AddStringToObject(value, FIELD_STATE, state_names[state]);
     cJSON_AddNumberToObject(value, FIELD_SUBMITTED_AT, submitted_at);
     /* Older versions do not know the shard field, so it is written only for a job outside its team's home shard. */
--- a/src/jobs/job_spec.c
+++ b/src/jobs/job_spec.c
@@ -8,6 +8,7 @@
 #include <string.h>
 
 #include "../json/json.h"
+#include "../model/machine_type.h"
 
 #define JOB_ID_PREFIX "req-"
 #define JOB_ID_LENGTH_MAX 40
@@ -135,36 +136,58 @@
     return true;
 }
 
+/* Returns whether a string is kept in a list. A string that is not kept has no effect on the job. */
+typedef bool (*string_filter)(const char *string);
+
+/* Returns the strings of a list without duplicates, as far as the filter keeps them, or NULL if the list holds other
+ * values. The caller frees the result. */
+static char **read_strings(const cJSON *list, string_filter keeps) {
+    const cJSON *item;
+    GPtrArray *strings = g_ptr_array_new_with_free_func(g_free);
+    GHashTable *seen = g_hash_table_new(g_str_hash, g_str_equal);
+    bool valid = cJSON_IsArray(list);
+    cJSON_ArrayForEach(item, list) {
+        valid &= cJSON_IsString(item) != 0;
+        if (!valid) break;
+        bool is_new = keeps(item->valuestring) && g_hash_table_add(seen, item->valuestring);
+        if (is_new) g_ptr_array_add(strings, g_strdup(item->valuestring));
+    }
+    g_hash_table_destroy(seen);
+    g_ptr_array_add(strings, NULL);
+    char **result = (char **)g_ptr_array_free(strings, FALSE);
+    if (!valid) {
+        g_clear_pointer(&result, g_strfreev);
+    }
+    return result;
+}
+
+/* The catalogue holds no type with a longer name. */
+static bool may_be_machine_type(const char *name) { return strlen(name) < TYPE_NAME_SIZE; }
+
+static bool is_any_string(const char *string) { return string != NULL; }
+
 /* An empty list allows no machine type. If the field is absent or null, all machine types are allowed. */
 static bool read_machine_types(const struct field_reading *field) {
-    const cJSON *list = field_value(field), *name;
+    const cJSON *list = field_value(field);
     if (!list) return true;
-    if (!cJSON_IsArray(list) || cJSON_GetArraySize(list) > MACHINE_TYPES_PER_JOB_MAX) return false;
-    char **names = g_new0(char *, (gsize)cJSON_GetArraySize(list) + 1);
+    char **names = read_strings(list, may_be_machine_type);
     *(char ***)field->member = names;
-    int n = 0;
-    cJSON_ArrayForEach(name, list) {
-        if (!cJSON_IsString(name)) return false;
-        names[n++] = g_strdup(name->valuestring);
-    }
-    return true;
+    return names && g_strv_length(names) <= MACHINE_TYPES_PER_JOB_MAX;
 }
 
-/* Drops duplicate ids. If the list is empty, null or absent, there are no prerequisites. */
+/* If the list is empty, null or absent, there are no prerequisites. */
 static bool read_prerequisites(const struct field_reading *field) {
-    const cJSON *list = field_value(field), *job_id;
+    const cJSON *list = field_value(field);
     if (!list) return true;
-    if (!cJSON_IsArray(list)) return false;
-    if (cJSON_GetArraySize(list) == 0) return true;
-    char **job_ids = g_new0(char *, (gsize)cJSON_GetArraySize(list) + 1);
-    *(char ***)field->member = job_ids;
-    int n = 0;
-    cJSON_ArrayForEach(job_id, list) {
-        if (!cJSON_IsString(job_id) || !job_id_valid(job_id->valuestring)) return false;
-        if (!g_strv_contains((const char *const *)job_ids, job_id->valuestring))
-            job_ids[n++] = g_strdup(job_id->valuestring);
+    char **job_ids = read_strings(list, is_any_string);
+    if (job_ids && !*job_ids) {
+        g_strfreev(job_ids);
+        return true;
     }
-    return true;
+    *(char ***)field->member = job_ids;
+    for (char **job_id = job_ids; job_id && *job_id; job_id++)
+        if (!job_id_valid(*job_id)) return false;
+    return job_ids != NULL;
 }
 
 /* ---- The fields of a submission ---- */
@@ -174,33 +197,34 @@
     size_t member;    /* offset in struct job_spec */
     bool (*read)(const struct field_reading *field);
     bool required;
+    string_filter keeps; /* for a list of strings; NULL: the value is no list */
 };
 
 #define MEMBER(name) offsetof(struct job_spec, name)
 
-/* The fields in the order of their checks; the first invalid field is reported. */
+/* The fields in the order of their checks, of which the first invalid one is reported, and of the canonical form. */
 static const struct field fields[] = {
-    {JOB_SPEC_FIELD_ID, MEMBER(job_id), read_job_id, true},
-    {"jobclass", MEMBER(job_class), read_name, true},
-    {JOB_SPEC_FIELD_TEAM, MEMBER(team), read_team, true},
-    {"shape", MEMBER(kind), read_kind, true},
-    {"rank", MEMBER(priority), read_priority, true},
-    {"tasks", MEMBER(tasks), read_task_count, true},
-    {"vcpus", MEMBER(vcpus), read_positive_amount, true},
-    {"gpus", MEMBER(gpus), read_amount, true},
-    {"memory_gb", MEMBER(memory_gb), read_amount, true},
-    {"pull_gb", MEMBER(image_gb), read_amount, true},
-    {"runtime_s", MEMBER(runtime_s), read_amount, true},
-    {"checkpoint_s", MEMBER(checkpoint_s), read_amount, true},
-    {"flush_s", MEMBER(checkpoint_flush_s), read_amount, true},
-    {"due_s", MEMBER(deadline_s), read_optional_amount, false},
-    {"image", MEMBER(image), read_name, true},
-    {"flavours", MEMBER(machine_types), read_machine_types, false},
-    {"site", MEMBER(zone), read_zone, false},
-    {"together", MEMBER(single_zone), read_flag, true},
-    {"spread", MEMBER(spread), read_flag, true},
-    {"reclaimable", MEMBER(allows_spot), read_flag, true},
-    {JOB_SPEC_FIELD_PREREQUISITES, MEMBER(prerequisites), read_prerequisites, false},
+    {JOB_SPEC_FIELD_ID, MEMBER(job_id), read_job_id, true, NULL},
+    {"jobclass", MEMBER(job_class), read_name, true, NULL},
+    {JOB_SPEC_FIELD_TEAM, MEMBER(team), read_team, true, NULL},
+    {"shape", MEMBER(kind), read_kind, true, NULL},
+    {"rank", MEMBER(priority), read_priority, true, NULL},
+    {"tasks", MEMBER(tasks), read_task_count, true, NULL},
+    {"vcpus", MEMBER(vcpus), read_positive_amount, true, NULL},
+    {"gpus", MEMBER(gpus), read_amount, true, NULL},
+    {"memory_gb", MEMBER(memory_gb), read_amount, true, NULL},
+    {"image", MEMBER(image), read_name, true, NULL},
+    {"pull_gb", MEMBER(image_gb), read_amount, true, NULL},
+    {"flavours", MEMBER(machine_types), read_machine_types, false, may_be_machine_type},
+    {"site", MEMBER(zone), read_zone, false, NULL},
+    {"together", MEMBER(single_zone), read_flag, true, NULL},
+    {"spread", MEMBER(spread), read_flag, true, NULL},
+    {"reclaimable", MEMBER(allows_spot), read_flag, true, NULL},
+    {"runtime_s", MEMBER(runtime_s), read_amount, true, NULL},
+    {"checkpoint_s", MEMBER(checkpoint_s), read_amount, true, NULL},
+    {"flush_s", MEMBER(checkpoint_flush_s), read_amount, true, NULL},
+    {"due_s", MEMBER(deadline_s), read_optional_amount, false, NULL},
+    {JOB_SPEC_FIELD_PREREQUISITES, MEMBER(prerequisites), read_prerequisites, false, is_any_string},
 };
 
 const char *job_spec_read(const cJSON *submission, const struct settings *settings, struct job_spec *spec) {
@@ -229,6 +253,43 @@
     return cJSON_GetArraySize(cJSON_GetObjectItemCaseSensitive(submission, JOB_SPEC_FIELD_PREREQUISITES)) > 0;
 }
 
+const char *const *job_spec_field_names(void) {
+    static const char *names[G_N_ELEMENTS(fields) + 1];
+    static gsize initialized = 0;
+    if (g_once_init_enter(&initialized)) {
+        for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) names[i] = fields[i].name;
+        g_once_init_leave(&initialized, 1);
+    }
+    return names;
+}
+
+static cJSON *canonical_list(const cJSON *list, string_filter keeps) {
+    char **strings = read_strings(list, keeps);
+    cJSON *result = cJSON_CreateArray();
+    for (char **string = strings; string && *string; string++)
+        cJSON_AddItemToArray(result, cJSON_CreateString(*string));
+    g_strfreev(strings);
+    return result;
+}
+
+cJSON *job_spec_canonical(const cJSON *submission) {
+    cJSON *canonical = cJSON_CreateObject();
+    for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+        const cJSON *value = cJSON_GetObjectItemCaseSensitive(submission, fields[i].name);
+        if (!value || cJSON_IsNull(value)) continue;
+        cJSON *copy = fields[i].keeps ? canonical_list(value, fields[i].keeps) : cJSON_Duplicate(value, false);
+        cJSON_AddItemToObject(canonical, fields[i].name, copy);
+    }
+    return canonical;
+}
+
+char *job_spec_canonical_text(const cJSON *submission) {
+    cJSON *canonical = job_spec_canonical(submission);
+    char *text = cJSON_PrintUnformatted(canonical);
+    cJSON_Delete(canonical);
+    return text;
+}
+
 static bool is_required(const char *name) {
     for (size_t i = 0; i < G_N_ELEMENTS(fields); i++)
         if (strcmp(fields[i].name, name) == 0) return fields[i].required;
--- a/src/jobs/job_spec.h
+++ b/src/jobs/job_spec.h
@@ -30,6 +30,14 @@
 int job_spec_read_team(const cJSON *submission, const struct settings *settings); /* -1: unknown */
 bool job_spec_names_prerequisites(const cJSON *submission);
 
+/* Returns the names of all known fields, in a list that ends with NULL. */
+const char *const *job_spec_field_names(void);
+/* Returns the canonical form of a valid submission, which the caller frees: the known fields alone, in a fixed order,
+ * without fields that are null and without duplicates in lists. This is the form that a job's record has. */
+cJSON *job_spec_canonical(const cJSON *submission);
+/* Like cJSON_PrintUnformatted(job_spec_canonical(submission)). The caller frees the text with free. */
+char *job_spec_canonical_text(const cJSON *submission);
+
 /* Removes all fields from the submission except the fields that job_spec_read requires. */
 void job_spec_keep_required(cJSON *submission);
 #endif
--- a/src/jobs/jobs.c
+++ b/src/jobs/jobs.c
@@ -61,7 +61,7 @@
     }
     job->spec = spec;
     job->recorded = true;
-    job->spec_text = cJSON_PrintUnformatted(submission);
+    job->spec_text = job_spec_canonical_text(submission);
     job->submitted_at = job_record_submitted_at(data);
     job->done_bits = task_bits_new(job->spec.tasks);
     job->reported_done_bits = task_bits_new(job->spec.tasks);
--- a/src/model/job.h
+++ b/src/model/job.h
@@ -49,7 +49,7 @@
 struct job {
     struct job_spec spec;
     bool recorded;   /* its record has been read; false: only an allocation or a dependent names the job */
-    char *spec_text; /* the submission's JSON; NULL once the job is done or cancelled */
+    char *spec_text; /* the submission's canonical JSON; NULL once the job is done or cancelled */
     int shard;       /* for a divided team's job, the shard in its record; -1: the home shard of its team */
     enum job_state state;
     double submitted_at;      /* time of day at which the job was accepted */
--- a/src/settings/platform_file.c
+++ b/src/settings/platform_file.c
@@ -4,6 +4,7 @@
 
 #include "../clock/clock.h"
 #include "../json/json.h"
+#include "../json/reader.h"
 #include "reader.h"
 
 #define FIELD_NAME_BYTES 128
@@ -229,7 +230,7 @@
     memset(out, 0, sizeof *out);
     out->tuning = settings_tuning_defaults;
     out->quota = settings_quota_defaults;
-    cJSON *object = cJSON_Parse(json);
+    cJSON *object = json_read(json, strlen(json));
     if (cJSON_IsObject(object)) {
         struct section root = {object, ""};
         read_node(&reader, root, out);
--- a/src/workers/heartbeat.c
+++ b/src/workers/heartbeat.c
@@ -8,6 +8,7 @@
 
 #include "../http/status.h"
 #include "../json/json.h"
+#include "../json/reader.h"
 #include "../machines/machines.h"
 #include "../machines/occupancy.h"
 #include "../membership/membership.h"
@@ -136,7 +137,7 @@
 static void handle_post(struct http_request *request) {
     size_t length;
     const char *body = http_body(request, &length);
-    cJSON *message = cJSON_ParseWithLength(body, length);
+    cJSON *message = json_read(body, length);
     struct heartbeat heartbeat = codec_read_heartbeat(message);
     if (has_required_members(&heartbeat)) {
         store_lock();
--- a/tests/standin/cloud.c
+++ b/tests/standin/cloud.c
@@ -10,6 +10,7 @@
 #include "http/server.h"
 #include "http/status.h"
 #include "json/json.h"
+#include "unknown_fields.h"
 #include "workers.h"
 
 #define CONNECTIONS_MAX 16
@@ -92,7 +93,7 @@
     }
     pthread_mutex_unlock(&cloud.lock);
     cJSON_Delete(object);
-    http_reply_json(request, status, answer, 0);
+    standin_unknown_fields_reply(STANDIN_SENDER_CLOUD, request, status, answer);
 }
 
 bool standin_cloud_start(const char *address) {
--- a/tests/standin/cluster.c
+++ b/tests/standin/cluster.c
@@ -27,6 +27,7 @@
 #define PATH_BYTES 64
 #define URL_BYTES 160
 #define STATE_BYTES 32
+#define VALUE_KB_DEFAULT 4
 #define REQUEST_TIMEOUT_MS 2000
 #define SUBMIT_ATTEMPTS 200
 #define POLL_S 0.05
@@ -67,11 +68,11 @@
         "\"services\":{\"cloud\":\"%s\",\"state\":\"%s\"},\"settings\":{\"size\":%d,\"zones\":[\"za\",\"zb\"],"
         "\"teams\":%s,"
         "\"workers\":{\"report_s\":0.3,\"lease_s\":%d,\"gang_wait_s\":30,\"gang_peer_s\":5,\"cancel_s\":%d},"
-        "\"state\":{\"rps\":1000,\"write_rps\":500,\"value_kb\":4,\"txn_ops\":8,\"next\":%s},"
+        "\"state\":{\"rps\":1000,\"write_rps\":500,\"value_kb\":%d,\"txn_ops\":8,\"next\":%s},"
         "\"cloud\":{\"rps\":50,\"list_lag_s\":1},\"machine_limits\":{\"cores\":0.2,\"mem_mb\":100,\"sockets\":1000}}}",
         index, zone_of(index), controller->bind, controller->listen, seeds, cloud_address, controller->store_endpoint,
         cluster.shards, controller->teams, CLUSTER_WORKER_LEASE_S, CLUSTER_CANCEL_DEADLINE_S,
-        cluster.next_limits ? cluster.next_limits : "null");
+        cluster.value_kb ? cluster.value_kb : VALUE_KB_DEFAULT, cluster.next_limits ? cluster.next_limits : "null");
     g_snprintf(controller->settings_path, sizeof controller->settings_path, "%s/fieldfield-%d-%d.json", g_get_tmp_dir(),
                (int)getpid(), index);
     bool written = g_file_set_contents(controller->settings_path, json, -1, NULL);
--- a/tests/standin/cluster.h
+++ b/tests/standin/cluster.h
@@ -17,6 +17,7 @@
     int shards;
     const char *teams[CLUSTER_CONTROLLERS_MAX]; /* JSON list for each controller; NULL: the first controller's list */
     const char *next_limits;                    /* JSON of `state.next` in the settings; NULL: none */
+    int value_kb;                               /* `state.value_kb` of the settings; 0: 4 */
     bool first_sees_no_peer;                    /* the first controller's seeds are at an address without a listener */
 };
 
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -15,6 +15,7 @@
 #include "store/keys.h"
 #include "store_rows.h"
 #include "store_transaction.h"
+#include "unknown_fields.h"
 
 #define CONNECTIONS_MAX 64
 #define HTTP_INTERNAL_ERROR 500
@@ -188,7 +189,7 @@
     if (store.fault != STANDIN_OUTAGE && !*refused) status = answer_path(path, body, answer);
     pthread_mutex_unlock(&store.lock);
     cJSON_Delete(body);
-    http_reply_json(request, status, answer, 0);
+    standin_unknown_fields_reply(STANDIN_SENDER_STORE, request, status, answer);
 }
 
 bool standin_store_start(const char *address) {
--- a/tests/standin/workers.c
+++ b/tests/standin/workers.c
@@ -16,6 +16,7 @@
 #include "http/status.h"
 #include "json/json.h"
 #include "sync/sync.h"
+#include "unknown_fields.h"
 #include "worker.h"
 
 #define CONTROLLERS_MAX 8
@@ -196,7 +197,8 @@
     pthread_mutex_unlock(&workers.lock);
     cJSON_Delete(command);
     if (heartbeat) {
-        http_reply_json(request, accepted ? HTTP_OK : HTTP_CONFLICT, heartbeat, 0);
+        standin_unknown_fields_reply(STANDIN_SENDER_WORKER_ANSWER, request, accepted ? HTTP_OK : HTTP_CONFLICT,
+                                     heartbeat);
     } else {
         http_reply(request, HTTP_INTERNAL_ERROR, NULL, 0);
     }
@@ -228,7 +230,7 @@
     if (worker->fault == STANDIN_PARTITIONED) worker->controller = 0;
     cJSON *object = standin_worker_heartbeat(worker);
     workers.longest_list = MAX(workers.longest_list, (int)worker->tasks->len);
-    heartbeat.text = cJSON_PrintUnformatted(object);
+    heartbeat.text = standin_unknown_fields_print(STANDIN_SENDER_WORKER_HEARTBEAT, object);
     heartbeat.incarnation = worker->incarnation;
     heartbeat.alive = worker->alive;
     heartbeat.sent = sends_heartbeats(worker);
@@ -300,7 +302,7 @@
         clock_sleep(clock_from_seconds(HEARTBEAT_INTERVAL_S));
         struct heartbeat heartbeat = prepare_heartbeat(worker);
         if (heartbeat.sent) send_heartbeat(client, worker, &heartbeat);
-        free(heartbeat.text);
+        g_free(heartbeat.text);
         alive = heartbeat.alive;
     }
     http_client_free(client);
