http: a request has a deadline from its first byte to its last

Cause: places are limited, and each byte started a connection's idle time anew. A place could be held for ever.

Bodies of all requests of a server together take 16 MiB at the most (503 beyond), responses read as a client 32 MiB. Why it works: only connections without a complete request, or between requests, are closed, so no request that is being answered is lost, and idle clients connect again.

--- a/src/http/client.c
+++ b/src/http/client.c
@@ -10,6 +10,7 @@
 #define CACHED_CONNECTIONS_MAX 4L
 #define RECEIVE_BUFFER_BYTES 16384L
 #define INITIAL_RESPONSE_BYTES 1024
+#define RESPONSE_MAX_BYTES ((size_t)32 * 1024 * 1024) /* a longer response would not fit a controller's memory */
 
 struct http_client {
     CURL *curl;
@@ -17,7 +18,10 @@
     GString *response_body; /* of the latest request */
 };
 
-static size_t append_data(char *data, size_t size, size_t n, void *response_body) {
+/* Returns the number of bytes taken; fewer than given end the transfer with an error. */
+static size_t append_data(char *data, size_t size, size_t n, void *context) {
+    GString *response_body = context;
+    if (response_body->len + size * n > RESPONSE_MAX_BYTES) return 0;
     g_string_append_len(response_body, data, (gssize)(size * n));
     return size * n;
 }
--- a/src/http/http_test.c
+++ b/src/http/http_test.c
@@ -106,6 +106,41 @@
     close(fd);
 }
 
+/* Accepts one connection and sends a body without an end until the connection is closed. */
+static void *respond_without_end(void *arg) {
+    static const char header[] = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n[";
+    static char body[65536];
+    int connection_fd = accept(*(int *)arg, NULL, NULL);
+    memset(body, ' ', sizeof body);
+    ssize_t sent = send(connection_fd, header, sizeof header - 1, MSG_NOSIGNAL);
+    while (sent > 0) sent = send(connection_fd, body, sizeof body, MSG_NOSIGNAL);
+    close(connection_fd);
+    return NULL;
+}
+
+/* Guards against a response that takes more memory than the controller has. */
+static void response_without_end_is_given_up(void **state) {
+    (void)state;
+    struct sockaddr_in address = {.sin_family = AF_INET, .sin_addr = {htonl(INADDR_LOOPBACK)}};
+    socklen_t address_length = sizeof address;
+    int fd = socket(AF_INET, SOCK_STREAM, 0);
+    assert_int_equal(bind(fd, (struct sockaddr *)&address, sizeof address), 0);
+    assert_int_equal(listen(fd, 4), 0);
+    assert_int_equal(getsockname(fd, (struct sockaddr *)&address, &address_length), 0);
+    assert_int_equal(sync_start_thread(respond_without_end, &fd), 0);
+    char url[64];
+    g_snprintf(url, sizeof url, "http://127.0.0.1:%d/a", ntohs(address.sin_port));
+    struct http_client *client = http_client_new();
+    struct timespec start = clock_now();
+    long status;
+    cJSON *response;
+    assert_int_equal(http_call(client, "GET", url, NULL, 60000, &status, &response), HTTP_UNKNOWN);
+    assert_null(response);
+    assert_true(clock_seconds_since(start) < 30);
+    http_client_free(client);
+    close(fd);
+}
+
 /* Connections of workers are closed early enough to leave connections for users and health checks. */
 static void connections_are_scarce_above_half(void **state) {
     (void)state;
@@ -119,9 +154,8 @@
 
 int main(void) {
     const struct CMUnitTest tests[] = {
-        cmocka_unit_test(http_call_once_sends_no_second_copy),
-        cmocka_unit_test(old_reply_expires),
-        cmocka_unit_test(request_without_response_is_unknown),
+        cmocka_unit_test(http_call_once_sends_no_second_copy), cmocka_unit_test(old_reply_expires),
+        cmocka_unit_test(request_without_response_is_unknown), cmocka_unit_test(response_without_end_is_given_up),
         cmocka_unit_test(connections_are_scarce_above_half),
     };
     return cmocka_run_group_tests(tests, NULL, NULL);
--- a/src/http/server.c
+++ b/src/http/server.c
@@ -10,6 +10,8 @@
 #include <time.h>
 
 #include "../clock/clock.h"
+#include "connections.h"
+#include "status.h"
 
 /* Limits for each connection, because thousands are open at a time. */
 enum {
@@ -19,11 +21,15 @@
     CONNECTION_IDLE_TIMEOUT_S = 90,
     SERVER_THREAD_STACK_BYTES = 256 * 1024
 };
+/* Limit on the bodies of all requests of a server together, those that have not arrived in full included. */
+enum { BODIES_MAX_BYTES = 16 * 1024 * 1024 };
 enum { HOST_BYTES = 64, PORT_MAX = 65535 };
 
 struct http_server {
     struct MHD_Daemon *daemon;
     unsigned max_connections;
+    struct http_connections *connections;
+    size_t bodies_bytes; /* of all requests; used by the server's thread only */
     http_handler handler;
     void *context;
 };
@@ -33,6 +39,7 @@
     char *method, *path;
     GString *body;
     bool body_too_large, dispatched, suspended, replied;
+    bool bodies_too_large; /* a part of the body was dropped because of BODIES_MAX_BYTES */
     struct http_server *server;
     bool close_if_scarce; /* the connection is closed with the reply if connections are scarce */
     unsigned status;
@@ -115,6 +122,33 @@
     return result;
 }
 
+static struct http_connection *find_connection(struct MHD_Connection *connection) {
+    return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)->socket_context;
+}
+
+static void append_body(struct http_request *request, const char *data, size_t size) {
+    struct http_server *server = request->server;
+    if (request->body->len + size > BODY_MAX_BYTES) {
+        request->body_too_large = true;
+    } else if (server->bodies_bytes + size > BODIES_MAX_BYTES) {
+        request->bodies_too_large = true;
+    } else {
+        g_string_append_len(request->body, data, (gssize)size);
+        server->bodies_bytes += size;
+    }
+}
+
+/* Passes a complete request to the handler. */
+static void dispatch(struct http_request *request) {
+    request->dispatched = true;
+    http_connections_begin_request(request->server->connections, find_connection(request->connection));
+    if (request->bodies_too_large) {
+        http_reply(request, HTTP_SERVICE_UNAVAILABLE, NULL, 1);
+    } else {
+        request->server->handler(request, request->server->context);
+    }
+}
+
 static enum MHD_Result on_request(void *callback_context, struct MHD_Connection *connection, const char *url,
                                   const char *method, const char *version, const char *data, size_t *size,
                                   void **stored_request) {
@@ -132,17 +166,12 @@
         return MHD_YES;
     }
     if (*size > 0) {
-        if (request->body->len + *size > BODY_MAX_BYTES) {
-            request->body_too_large = true;
-        } else {
-            g_string_append_len(request->body, data, (gssize)*size);
-        }
+        append_body(request, data, *size);
         *size = 0;
         return MHD_YES;
     }
     if (!request->dispatched) {
-        request->dispatched = true;
-        server->handler(request, server->context);
+        dispatch(request);
         if (request->suspended) return MHD_YES;
     }
     if (!request->replied) return MHD_YES;
@@ -151,11 +180,12 @@
 
 static void on_request_completed(void *callback_context, struct MHD_Connection *connection, void **stored_request,
                                  enum MHD_RequestTerminationCode code) {
-    (void)callback_context;
-    (void)connection;
+    struct http_server *server = callback_context;
     (void)code;
     struct http_request *request = *stored_request;
     if (!request) return;
+    http_connections_end_request(server->connections, find_connection(connection));
+    server->bodies_bytes -= request->body->len;
     g_free(request->method);
     g_free(request->path);
     g_string_free(request->body, TRUE);
@@ -164,6 +194,18 @@
     *stored_request = NULL;
 }
 
+static void on_connection(void *callback_context, struct MHD_Connection *connection, void **stored_connection,
+                          enum MHD_ConnectionNotificationCode code) {
+    struct http_server *server = callback_context;
+    if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+        const union MHD_ConnectionInfo *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        *stored_connection = http_connections_add(server->connections, info->connect_fd);
+    } else {
+        http_connections_remove(server->connections, *stored_connection);
+        *stored_connection = NULL;
+    }
+}
+
 struct http_server *http_server_start(const char *address, unsigned max_connections, http_handler handler,
                                       void *context) {
     struct sockaddr_in listen_address = {.sin_family = AF_INET};
@@ -179,17 +221,20 @@
     server->handler = handler;
     server->context = context;
     server->max_connections = max_connections;
+    server->connections = http_connections_new(max_connections);
     /* One epoll thread serves all connections; one thread per connection would need too much memory. */
     server->daemon = MHD_start_daemon(
         MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME, (uint16_t)port, NULL, NULL, on_request, server,
         MHD_OPTION_SOCK_ADDR, (struct sockaddr *)&listen_address, MHD_OPTION_NOTIFY_COMPLETED, on_request_completed,
-        NULL, MHD_OPTION_CONNECTION_LIMIT, max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-        (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT, (unsigned)CONNECTION_IDLE_TIMEOUT_S,
-        MHD_OPTION_THREAD_STACK_SIZE, (size_t)SERVER_THREAD_STACK_BYTES, MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u,
-        MHD_OPTION_END);
+        server, MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_CONNECTION_LIMIT, max_connections,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY_BYTES, MHD_OPTION_CONNECTION_TIMEOUT,
+        (unsigned)CONNECTION_IDLE_TIMEOUT_S, MHD_OPTION_THREAD_STACK_SIZE, (size_t)SERVER_THREAD_STACK_BYTES,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1u, MHD_OPTION_END);
     if (!server->daemon) {
+        http_connections_free(server->connections);
         g_free(server);
         return NULL;
     }
+    http_connections_start(server->connections);
     return server;
 }
--- a/tests/standin/cluster.c
+++ b/tests/standin/cluster.c
@@ -5,6 +5,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
@@ -161,6 +162,8 @@
     if (controllers[index].pid) kill(controllers[index].pid, SIGCONT);
 }
 
+int cluster_port(int index) { return atoi(strrchr(controllers[index].bind, ':') + 1); }
+
 double cluster_cpu_time_s(int index) {
     char path[PATH_BYTES], *text = NULL;
     long user = 0, system = 0;
--- a/tests/standin/cluster.h
+++ b/tests/standin/cluster.h
@@ -36,6 +36,8 @@
 void cluster_kill_controller(int index);
 void cluster_pause_controller(int index); /* stops the whole process until it is resumed */
 void cluster_resume_controller(int index);
+/* Port at which the controller serves users and workers. */
+int cluster_port(int index);
 /* CPU time that the controller's process has used; 0 if the process does not run. */
 double cluster_cpu_time_s(int index);
 /* Sets whether the store refuses all requests of this controller. Requests of other controllers are not refused. */
