cloud: the record of machine types has their known members alone

The record held the cloud's answer as it came, so unknown members could make it too large to be written, and a controller that cannot reach the cloud then answered submissions with 503 for want of machine types.

Records and requests in the fixtures are unchanged.

--- a/src/cloud/catalogue.c
+++ b/src/cloud/catalogue.c
@@ -1,5 +1,6 @@
 #include "catalogue.h"
 
+#include <stdbool.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -11,11 +12,12 @@
 #define BYTES_PER_KIB 1024
 #define RECORD_OVERHEAD_BYTES 64 /* size of a record's value without the catalogue */
 
-static void write_record(const cJSON *catalogue) {
+/* Takes ownership of the record's value. */
+static void write_record(cJSON *value) {
     struct store_txn transaction;
     struct store_response response;
     store_txn_init(&transaction);
-    store_txn_put(&transaction, STORE_KEY_MACHINE_TYPES, cJSON_Duplicate(catalogue, true), 0);
+    store_txn_put(&transaction, STORE_KEY_MACHINE_TYPES, value, 0);
     store_commit(cloud_client_http(), STORE_PRIORITY_ALLOCATE, &transaction, &response);
     store_response_clear(&response);
     store_txn_free(&transaction);
@@ -24,12 +26,17 @@
 void catalogue_read(const struct settings *settings) {
     struct cloud_answer answer = cloud_client_call("GET", "/flavors", NULL);
     if (cloud_answer_has_status(&answer, HTTP_OK)) {
-        char *text = cJSON_PrintUnformatted(answer.body);
+        cJSON *value = machine_types_canonical(answer.body);
+        char *text = cJSON_PrintUnformatted(value);
         store_lock();
         machine_types_apply(answer.body);
         store_unlock();
-        if (text && (double)strlen(text) < settings->next_value_max_kb * BYTES_PER_KIB - RECORD_OVERHEAD_BYTES)
-            write_record(answer.body);
+        bool fits = (double)strlen(text) < settings->next_value_max_kb * BYTES_PER_KIB - RECORD_OVERHEAD_BYTES;
+        if (fits) {
+            write_record(value);
+        } else {
+            cJSON_Delete(value);
+        }
         free(text);
     }
     cloud_answer_clear(&answer);
--- a/src/machine_types/machine_types.c
+++ b/src/machine_types/machine_types.c
@@ -91,6 +91,42 @@
 }
 
 /* The observed prefix is the key of the record. A key with a suffix belongs to another record and is ignored. */
+/* ---- writing a catalogue ---- */
+
+static cJSON *canonical_zones(const cJSON *zones) {
+    const cJSON *zone;
+    cJSON *result = cJSON_CreateArray();
+    cJSON_ArrayForEach(zone, zones) {
+        if (cJSON_IsString(zone)) cJSON_AddItemToArray(result, cJSON_CreateString(zone->valuestring));
+    }
+    return result;
+}
+
+static cJSON *canonical_type(const cJSON *object) {
+    static const char *const numbers[] = {
+        TYPE_VCPUS,        TYPE_GPUS,       TYPE_MEMORY_GB, TYPE_IMAGE_CACHE_GB, TYPE_IMAGE_FETCH_GB_PER_S,
+        TYPE_HOURLY_PRICE, TYPE_SPOT_PRICE, TYPE_STARTUP_S};
+    cJSON *type = cJSON_CreateObject();
+    cJSON_AddStringToObject(type, TYPE_NAME, json_get_string(object, TYPE_NAME));
+    for (size_t i = 0; i < G_N_ELEMENTS(numbers); i++) {
+        const cJSON *number = cJSON_GetObjectItemCaseSensitive(object, numbers[i]);
+        if (cJSON_IsNumber(number)) cJSON_AddNumberToObject(type, numbers[i], number->valuedouble);
+    }
+    cJSON_AddItemToObject(type, TYPE_ZONES, canonical_zones(cJSON_GetObjectItemCaseSensitive(object, TYPE_ZONES)));
+    return type;
+}
+
+cJSON *machine_types_canonical(const cJSON *value) {
+    const cJSON *object;
+    cJSON *catalogue_value = cJSON_CreateObject();
+    cJSON *types = cJSON_AddArrayToObject(catalogue_value, CATALOGUE_TYPES);
+    cJSON_ArrayForEach(object, cJSON_GetObjectItemCaseSensitive(value, CATALOGUE_TYPES)) {
+        const char *type_name = json_get_string(object, TYPE_NAME);
+        if (type_name && strlen(type_name) < TYPE_NAME_SIZE) cJSON_AddItemToArray(types, canonical_type(object));
+    }
+    return catalogue_value;
+}
+
 static void apply_record(const char *key_suffix, const cJSON *data, int64_t mod_revision) {
     (void)mod_revision;
     if (*key_suffix == 0 && data) machine_types_apply(data);
--- a/src/machine_types/machine_types.h
+++ b/src/machine_types/machine_types.h
@@ -22,4 +22,7 @@
 
 /* Applies a catalogue, from the cloud's answer or from the record. Known types that it does not list are kept. */
 void machine_types_apply(const cJSON *value);
+/* Returns the known members of a catalogue alone, as the record has them. The caller frees the value. Pure; may be
+ * called without store_lock. */
+cJSON *machine_types_canonical(const cJSON *value);
 #endif
--- a/src/machine_types/machine_types_test.c
+++ b/src/machine_types/machine_types_test.c
@@ -95,10 +95,28 @@
     assert_ptr_equal(machine_types_find("g16"), first);
 }
 
+/* Guards against a catalogue that fits no record, or stops its readers, because of what no controller uses. */
+static void canonical_catalogue_has_known_members_only(void **state) {
+    (void)state;
+    static const char known[] =
+        "{\"flavours\":[{\"sku\":\"g16\",\"vcpus\":16,\"gpus\":2,\"memory_gb\":64,\"hourly\":7,\"sites\":[\"za\","
+        "\"zb\"]}]}";
+    cJSON *catalogue = cJSON_Parse(
+        "{\"x\":[[[]]],\"flavours\":[{\"x_text\":\"long\",\"sku\":\"g16\",\"vcpus\":16,\"gpus\":2,\"memory_gb\":64,"
+        "\"hourly\":7,\"local_gb\":\"none\",\"sites\":[\"za\",{\"x\":1},\"zb\"]},7,{\"x\":1}]}");
+    cJSON *canonical = machine_types_canonical(catalogue);
+    char *text = cJSON_PrintUnformatted(canonical);
+    assert_string_equal(text, known);
+    cJSON_free(text);
+    cJSON_Delete(canonical);
+    cJSON_Delete(catalogue);
+}
+
 int main(void) {
     const struct CMUnitTest tests[] = {cmocka_unit_test(catalogue_is_unknown_until_it_is_read),
                                        cmocka_unit_test(missing_members_of_a_type_get_defaults),
                                        cmocka_unit_test(malformed_types_are_ignored),
-                                       cmocka_unit_test(types_beyond_the_maximum_are_ignored)};
+                                       cmocka_unit_test(types_beyond_the_maximum_are_ignored),
+                                       cmocka_unit_test(canonical_catalogue_has_known_members_only)};
     return cmocka_run_group_tests(tests, NULL, NULL);
 }
--- a/tests/cluster/unknown_fields_test.c
+++ b/tests/cluster/unknown_fields_test.c
@@ -297,6 +297,8 @@
         check_job(rows[row].name, job_id, i);
         g_free(job_id);
     }
+    assert_true(record_has("types", "\"g4\"")); /* read by controllers that cannot reach the cloud */
+    assert_false(record_has("types", "x_text"));
     clock_sleep(clock_from_seconds(SETTLED_S));
     assert_int_equal(standin_workers_starts(), JOBS * TASKS_PER_JOB);
     assert_int_equal(standin_workers_most_copies(), 1);
