tests: starts, rentals and returns that are held up past the cancel deadline

The cloud answers a repeated claim like the first one. New: deaf machines whose commands are delayed, replaced machines, delayed rentals and returns.

--- a/tests/standin/cloud.c
+++ b/tests/standin/cloud.c
@@ -14,6 +14,7 @@
 #include "workers.h"
 
 #define CONNECTIONS_MAX 16
+#define HTTP_INTERNAL_ERROR 500
 
 static const char catalogue[] =
     "{\"flavours\":[{\"sku\":\"g4\",\"vcpus\":16,\"gpus\":4,\"memory_gb\":64,\"local_gb\":50,"
@@ -33,6 +34,10 @@
     GHashTable *claims; /* claim -> text of its latest request */
     int claims_reused, returned, capacity;
     unsigned refused; /* number of refused rentals; also the index of the next refusal */
+    bool delays;
+    GHashTable *delayed;       /* claim, or text of a return -> request, as cJSON */
+    GHashTable *rented_claims; /* claim -> text of the answer */
+    int delayed_rentals, delayed_returns;
 } cloud = {.lock = PTHREAD_MUTEX_INITIALIZER, .capacity = STANDIN_WORKERS_MAX};
 
 /* With the lock held. */
@@ -58,10 +63,32 @@
     return answer;
 }
 
+/* Rents machines, or gives the answer to an earlier request with the same claim. With the lock held. */
+static cJSON *rent_once(const cJSON *rental) {
+    const char *claim = json_get_string(rental, "claim"), *earlier = g_hash_table_lookup(cloud.rented_claims, claim);
+    if (earlier) return cJSON_Parse(earlier);
+    cJSON *answer = rent(rental);
+    char *text = cJSON_PrintUnformatted(answer);
+    g_hash_table_insert(cloud.rented_claims, g_strdup(claim), g_strdup(text));
+    free(text);
+    return answer;
+}
+
+/* Keeps a request until it is executed. With the lock held. */
+static cJSON *delay_request(const char *key, const cJSON *request, int *count, unsigned *status) {
+    if (!g_hash_table_contains(cloud.delayed, key)) {
+        g_hash_table_insert(cloud.delayed, g_strdup(key), cJSON_Duplicate(request, true));
+        ++*count;
+    }
+    *status = HTTP_INTERNAL_ERROR;
+    return cJSON_CreateObject();
+}
+
 /* With the lock held. */
 static cJSON *answer_rental(const cJSON *rental, unsigned *status) {
     record_claim(rental);
-    if (cloud.refused >= G_N_ELEMENTS(refusals)) return rent(rental);
+    if (cloud.delays) return delay_request(json_get_string(rental, "claim"), rental, &cloud.delayed_rentals, status);
+    if (cloud.refused >= G_N_ELEMENTS(refusals)) return rent_once(rental);
     *status = refusals[cloud.refused].status;
     return cJSON_Parse(refusals[cloud.refused++].body);
 }
@@ -85,7 +112,7 @@
     if (strcmp(path, "/flavors") == 0) {
         answer = cJSON_Parse(catalogue);
     } else if (strcmp(path, "/rentals/return") == 0) {
-        answer = answer_return(object);
+        answer = cloud.delays ? delay_request(body, object, &cloud.delayed_returns, &status) : answer_return(object);
     } else if (strcmp(http_method(request), "POST") == 0) {
         answer = answer_rental(object, &status);
     } else {
@@ -98,6 +125,8 @@
 
 bool standin_cloud_start(const char *address) {
     cloud.claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    cloud.rented_claims = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    cloud.delayed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)cJSON_Delete);
     return http_server_start(address, CONNECTIONS_MAX, on_request, NULL) != NULL;
 }
 
@@ -107,6 +136,38 @@
     pthread_mutex_unlock(&cloud.lock);
 }
 
+void standin_cloud_delay_requests(void) {
+    pthread_mutex_lock(&cloud.lock);
+    cloud.delays = true;
+    pthread_mutex_unlock(&cloud.lock);
+}
+
+void standin_cloud_execute_delayed(void) {
+    GHashTableIter iterator;
+    gpointer request;
+    pthread_mutex_lock(&cloud.lock);
+    cloud.delays = false;
+    g_hash_table_iter_init(&iterator, cloud.delayed);
+    while (g_hash_table_iter_next(&iterator, NULL, &request))
+        cJSON_Delete(json_get_string(request, "claim") ? rent_once(request) : answer_return(request));
+    g_hash_table_remove_all(cloud.delayed);
+    pthread_mutex_unlock(&cloud.lock);
+}
+
+int standin_cloud_delayed_rentals(void) {
+    pthread_mutex_lock(&cloud.lock);
+    int rentals = cloud.delayed_rentals;
+    pthread_mutex_unlock(&cloud.lock);
+    return rentals;
+}
+
+int standin_cloud_delayed_returns(void) {
+    pthread_mutex_lock(&cloud.lock);
+    int returns = cloud.delayed_returns;
+    pthread_mutex_unlock(&cloud.lock);
+    return returns;
+}
+
 void standin_cloud_set_capacity(int machines) {
     pthread_mutex_lock(&cloud.lock);
     cloud.capacity = machines;
--- a/tests/standin/cloud.h
+++ b/tests/standin/cloud.h
@@ -14,6 +14,15 @@
 /* Limits the number of machines that are rented at the same time. */
 void standin_cloud_set_capacity(int machines);
 
+/* From now on requests to rent, or to return machines, get an error and are carried out only by
+ * standin_cloud_execute_delayed. A repeated request of either kind is answered like the first. */
+void standin_cloud_delay_requests(void);
+/* Carries out the delayed requests, and ends the delay. */
+void standin_cloud_execute_delayed(void);
+/* Number of delayed requests: rentals, and returns. */
+int standin_cloud_delayed_rentals(void);
+int standin_cloud_delayed_returns(void);
+
 /* Number of machines rented so far. */
 int standin_cloud_rented(void);
 /* Number of rentals refused so far; 3 after standin_cloud_stop_refusing_rentals, however many were refused. */
--- a/tests/standin/store.c
+++ b/tests/standin/store.c
@@ -303,6 +303,28 @@
 
 /* Functions by which tests read the stand-in. */
 
+/* The search for a page with a machine. */
+struct machine_search {
+    char quoted_id[MACHINE_ID_BYTES];
+    bool found;
+};
+
+static gboolean find_in_page(gpointer key, gpointer value, gpointer data) {
+    struct machine_search *search = data;
+    if (g_str_has_prefix(key, STORE_PREFIX_MACHINE_PAGE))
+        search->found |= strstr(((const struct standin_row *)value)->text, search->quoted_id) != NULL;
+    return search->found;
+}
+
+bool standin_store_lists_machine(int index) {
+    struct machine_search search = {.found = false};
+    g_snprintf(search.quoted_id, sizeof search.quoted_id, "\"i-%06d\"", index);
+    pthread_mutex_lock(&store.lock);
+    standin_rows_foreach(find_in_page, &search);
+    pthread_mutex_unlock(&store.lock);
+    return search.found;
+}
+
 char *standin_store_value(const char *key) {
     pthread_mutex_lock(&store.lock);
     standin_leases_expire();
--- a/tests/standin/store.h
+++ b/tests/standin/store.h
@@ -43,6 +43,8 @@
 /* Removes the machine with this index from the page that lists it. Returns false if no page does. */
 bool standin_store_remove_machine(int index);
 
+/* Whether a record lists the machine. */
+bool standin_store_lists_machine(int index);
 /* A copy of the row's value, to be freed by g_free; NULL: there is no such row. */
 char *standin_store_value(const char *key);
 /* Bytes of the largest value of all keys with this prefix. */
--- a/tests/standin/worker.c
+++ b/tests/standin/worker.c
@@ -47,6 +47,14 @@
     g_array_set_size(worker->tasks, 0);
 }
 
+void standin_worker_replace(struct standin_worker *worker) {
+    standin_worker_lose_tasks(worker);
+    g_hash_table_remove_all(worker->started);
+    worker->incarnation = 1;
+    worker->sequence = worker->fencing_token = 0;
+    worker->last_answer = clock_now();
+}
+
 void standin_worker_check_lease(struct standin_worker *worker, double lease_s) {
     if (clock_seconds_since(worker->last_answer) < lease_s) return;
     standin_worker_lose_tasks(worker);
--- a/tests/standin/worker.h
+++ b/tests/standin/worker.h
@@ -42,6 +42,8 @@
 void standin_worker_init(struct standin_worker *worker, int index, int port, bool spot);
 /* Kills and removes all tasks of the machine. */
 void standin_worker_lose_tasks(struct standin_worker *worker);
+/* Puts the machine into the state of a new one with the same name. */
+void standin_worker_replace(struct standin_worker *worker);
 /* If no heartbeat was answered for lease_s seconds, kills all tasks and starts a new incarnation. */
 void standin_worker_check_lease(struct standin_worker *worker, double lease_s);
 /* Ends the tasks whose run time is over, and returns the next heartbeat. The caller frees it. */
--- a/tests/standin/workers.c
+++ b/tests/standin/workers.c
@@ -23,6 +23,7 @@
 #define CONNECTIONS_MAX 16
 #define FIRST_PORT 18300
 #define URL_BYTES 96
+#define PATH_INSPECT "/inspect"
 #define HEARTBEAT_INTERVAL_S 0.15
 #define COPIES_INTERVAL_S 0.05
 #define HEARTBEAT_TIMEOUT_MS 1000
@@ -140,7 +141,9 @@
 
 /* Keeps a command until the machine's fault ends. It is executed then even if the controller that sent it is gone. */
 static void delay_command(struct standin_worker *worker, const cJSON *command) {
-    if (!worker->alive || (worker->fault != STANDIN_COMMANDS_DELAYED && worker->fault != STANDIN_HANGS)) return;
+    bool delays =
+        worker->fault == STANDIN_COMMANDS_DELAYED || worker->fault == STANDIN_HANGS || worker->fault == STANDIN_DEAF;
+    if (!worker->alive || !delays) return;
     struct delayed_command *delayed = g_new0(struct delayed_command, 1);
     delayed->worker = worker;
     delayed->command = cJSON_Duplicate(command, true);
@@ -178,16 +181,19 @@
     return has;
 }
 
-/* Handles a controller's command, on the thread of the machine's HTTP server. */
+/* Handles a controller's command or inspection, on the thread of the machine's HTTP server. */
 static void on_command(struct http_request *request, void *ctx) {
     struct standin_worker *worker = ctx;
     size_t length;
     const char *body = http_body(request, &length);
     cJSON *command = cJSON_ParseWithLength(body, length), *heartbeat = NULL;
-    bool accepted = false;
+    bool inspection = strcmp(http_path(request), PATH_INSPECT) == 0, accepted = false;
     if (has_fault(worker, STANDIN_STARTS_DELAYED)) clock_sleep(clock_from_seconds(STANDIN_COMMAND_DELAY_S));
     pthread_mutex_lock(&workers.lock);
-    if (receives_commands(worker)) {
+    if (inspection) {
+        accepted = receives_commands(worker);
+        heartbeat = accepted ? standin_worker_heartbeat(worker) : NULL;
+    } else if (receives_commands(worker)) {
         accepted = execute_command(worker, command);
         if (accepted) command_copies_add(worker, command);
         heartbeat = standin_worker_heartbeat(worker);
@@ -257,7 +263,8 @@
 static void handle_answer(struct standin_worker *worker, const struct heartbeat *heartbeat, struct timespec sent_at,
                           long status, const cJSON *answer) {
     int64_t fencing_token = 0;
-    if (worker->fault == STANDIN_CANNOT_RECEIVE || worker->fault == STANDIN_HANGS) return;
+    if (worker->fault == STANDIN_CANNOT_RECEIVE || worker->fault == STANDIN_HANGS || worker->fault == STANDIN_DEAF)
+        return;
     if (status != HTTP_OK) {
         choose_controller(worker, status, answer);
     } else if (heartbeat->incarnation == worker->incarnation && json_get_int64(answer, "fence", &fencing_token) &&
@@ -378,6 +385,13 @@
     return alive;
 }
 
+bool standin_workers_is_alive(int index) {
+    pthread_mutex_lock(&workers.lock);
+    bool alive = index < workers.n_machines && workers.machines[index].alive;
+    pthread_mutex_unlock(&workers.lock);
+    return alive;
+}
+
 int standin_workers_added(void) {
     pthread_mutex_lock(&workers.lock);
     int added = workers.n_machines;
@@ -418,6 +432,27 @@
     pthread_mutex_unlock(&workers.lock);
 }
 
+int standin_workers_delayed_starts(const char *prefix) {
+    int starts = 0;
+    pthread_mutex_lock(&workers.lock);
+    for (guint i = 0; i < workers.delayed_commands->len; i++) {
+        const struct delayed_command *delayed = workers.delayed_commands->pdata[i];
+        const cJSON *entry;
+        cJSON_ArrayForEach(entry, cJSON_GetObjectItem(delayed->command, "orders")) {
+            struct standin_directive directive = standin_directive_read(entry);
+            starts += strcmp(directive.verb, "run") == 0 && g_str_has_prefix(directive.task, prefix);
+        }
+    }
+    pthread_mutex_unlock(&workers.lock);
+    return starts;
+}
+
+void standin_workers_replace(int index) {
+    pthread_mutex_lock(&workers.lock);
+    standin_worker_replace(&workers.machines[index]);
+    pthread_mutex_unlock(&workers.lock);
+}
+
 void standin_workers_set_unreachable(bool unreachable) {
     pthread_mutex_lock(&workers.lock);
     workers.unreachable = unreachable;
--- a/tests/standin/workers.h
+++ b/tests/standin/workers.h
@@ -28,6 +28,8 @@
 bool standin_workers_remove(const char *id);
 /* Number of machines that were added and not removed. */
 int standin_workers_alive(void);
+/* Whether the machine was added and not removed. */
+bool standin_workers_is_alive(int index);
 /* Number of machines that were added. */
 int standin_workers_added(void);
 
@@ -44,10 +46,17 @@
     STANDIN_HANGS,            /* sends nothing; commands get an error and are executed when the fault ends */
     STANDIN_STARTS_DELAYED,   /* commands arrive STANDIN_COMMAND_DELAY_S late; responses to heartbeats that bring a new
                                  start arrive STANDIN_RESPONSE_DELAY_S late */
-    STANDIN_PARTITIONED       /* sends heartbeats to the first controller only; commands are lost */
+    STANDIN_PARTITIONED,      /* sends heartbeats to the first controller only; commands are lost */
+    STANDIN_DEAF              /* heartbeats arrive; their answers are lost, commands get an error and are executed when
+                                 the fault ends */
 };
 /* Replaces the machine's fault; index -1: the faults of all machines. */
 void standin_workers_inject(int index, enum standin_worker_fault fault);
+/* Number of starts of tasks with this prefix in the commands that wait for a fault to end. */
+int standin_workers_delayed_starts(const char *prefix);
+/* Makes a machine forget everything, as if it had been replaced under its name within a moment: it has no tasks, is in
+ * its first incarnation and has received no fencing token. */
+void standin_workers_replace(int index);
 /* Sets whether all machines are unreachable: they send no heartbeats, and commands are lost. */
 void standin_workers_set_unreachable(bool unreachable);
 /* Makes one machine unreachable until the process ends. */
