--- a/src/jobs/jobs_test.c
+++ b/src/jobs/jobs_test.c
@@ -165,6 +165,50 @@
     g_free(filler);
 }
 
+/* Returns the size of the record of a job whose names are as long as they may be, of this character; extra: further
+ * members, with a comma before each. */
+static size_t largest_record_bytes(const char *character, const char *extra) {
+    char *separators = g_strnfill(199, '@'), *zone = g_strnfill(99, 'z');
+    char **parts = g_strsplit(separators, "@", -1);
+    char *name = g_strjoinv(character, parts), *job_id = g_strnfill(36, '9');
+    char *text = g_strdup_printf(
+        "{\"x\":\"unknown\",\"uid\":\"req-%s\",\"jobclass\":\"%s\",\"owner\":\"red\",\"shape\":\"standing\",\"rank\":"
+        "\"production\",\"tasks\":100000,\"vcpus\":123456789.12345679,\"gpus\":123456789.12345679,\"memory_gb\":"
+        "123456789.12345679,\"image\":\"%s\",\"pull_gb\":1.2345678901234567e-300,\"site\":\"%s\",\"together\":false,"
+        "\"spread\":false,\"reclaimable\":false,\"runtime_s\":1.2345678901234567e-300,\"checkpoint_s\":"
+        "1.2345678901234567e-300,\"flush_s\":1.2345678901234567e-300,\"due_s\":1.2345678901234567e-300%s}",
+        job_id, name, name, zone, extra);
+    struct job_spec spec;
+    cJSON *submission = cJSON_Parse(text);
+    assert_null(job_spec_read(submission, &settings, &spec));
+    char *canonical = job_spec_canonical_text(submission);
+    size_t bytes = jobs_record_bytes(canonical);
+    cJSON_Delete(submission);
+    job_spec_clear(&spec);
+    free(canonical);
+    g_free(text);
+    g_free(job_id);
+    g_free(name);
+    g_strfreev(parts);
+    g_free(zone);
+    g_free(separators);
+    return bytes;
+}
+
+/* Guards against a sound job that is refused for its size, as far as docs/submissions.md says that it fits. */
+static void largest_records_fit(void **state) {
+    (void)state;
+    GString *types = g_string_new(",\"flavours\":[\"t\"");
+    for (int i = 10; i < 74; i++)
+        g_string_append_printf(types, ",\"type-of-20-chars--%d\",\"type-of-20-chars--%d\"", i, i);
+    g_string_append(types, "]");
+    assert_true(largest_record_bytes("n", "") <= 1100);
+    assert_true(largest_record_bytes("\\\"", "") <= 1500);
+    assert_true(largest_record_bytes("\\u0001", "") <= 3100);
+    assert_true(largest_record_bytes("n", types->str) <= 2600);
+    g_string_free(types, TRUE);
+}
+
 static void apply_record(const char *state, const char *done, int64_t mod_revision) {
     char *text =
         g_strdup_printf("{\"spec\":%s,\"state\":\"%s\",\"done\":\"%s\",\"at\":5}", valid_submission, state, done);
@@ -261,6 +305,7 @@
         cmocka_unit_test(duplicate_prerequisites_are_dropped),
         cmocka_unit_test(submission_with_prerequisites_has_its_own_field),
         cmocka_unit_test(job_with_an_oversized_record_can_be_ended),
+        cmocka_unit_test(largest_records_fit),
         cmocka_unit_test(job_is_active_until_its_record_says_done),
         cmocka_unit_test(record_has_shard_only_outside_home_shard),
     };
