--- a/review/lib-2/world.c
+++ b/review/lib-2/world.c
@@ -21,7 +21,7 @@
 
 struct world_config world_kerwatt = {
     .controllers = 3,
-    .zones = {"brest-b", "lorient-c", "rennes-a"},
+    .zones = {"rennes-a", "brest-b", "lorient-c"},
     .n_zones = 3,
     .teams = {{"desk-quant-00", 0, 0, 8, 32},
               {"desk-quant-01", 0, 0, 8, 32},
@@ -54,8 +54,8 @@
     .hourly = 6.78,
     .market_price = 2.23,
     .startup_s = 25,
-    .ordinary = {9, 6, 7},
-    .spot = {4, 3, 3},
+    .ordinary = {7, 9, 6},
+    .spot = {3, 4, 3},
     .objectives =
         "[{\"kind\":\"wait\",\"class\":\"bid-forecast\",\"within_s\":18,\"share\":0.88},"
         "{\"kind\":\"finished\",\"class\":\"scenario-sweep\",\"within_s\":180,\"share\":0.9},"
@@ -68,7 +68,7 @@
 
 struct world_config world_aria = {
     .controllers = 3,
-    .zones = {"catania-uno", "palermo-tre", "siracusa-due"},
+    .zones = {"catania-uno", "siracusa-due", "palermo-tre"},
     .n_zones = 3,
     .teams = {{"rete", 0, 0, 0, 0},
               {"modelli", 0, 0, 0, 0},
@@ -100,8 +100,8 @@
     .hourly = 16.19,
     .market_price = 4.43,
     .startup_s = 30,
-    .ordinary = {8, 8, 10},
-    .spot = {7, 7, 8},
+    .ordinary = {8, 10, 8},
+    .spot = {7, 8, 7},
     .objectives =
         "[{\"kind\":\"wait\",\"class\":\"map-serve\",\"within_s\":1,\"share\":0.85},"
         "{\"kind\":\"finished\",\"class\":\"plume-trial\",\"within_s\":80,\"share\":0.9},"
@@ -111,7 +111,7 @@
 
 struct world_config world_aria_fleet = {
     .controllers = 3,
-    .zones = {"catania-uno", "palermo-tre", "siracusa-due"},
+    .zones = {"catania-uno", "siracusa-due", "palermo-tre"},
     .n_zones = 3,
     .teams = {{"rete", 0, 0, 0, 0},
               {"modelli", 0, 0, 0, 0},
@@ -143,8 +143,8 @@
     .hourly = 16.19,
     .market_price = 4.43,
     .startup_s = 30,
-    .ordinary = {8, 8, 10},
-    .spot = {7, 7, 8},
+    .ordinary = {8, 10, 8},
+    .spot = {7, 8, 7},
     .objectives =
         "[{\"kind\":\"wait\",\"class\":\"map-serve\",\"within_s\":1,\"share\":0.85},"
         "{\"kind\":\"finished\",\"class\":\"plume-trial\",\"within_s\":80,\"share\":0.9},"
@@ -1486,6 +1486,10 @@
     char settings[600];
 } controllers[WORLD_CONTROLLERS_MAX];
 
+static int compare_names(const void *left, const void *right) {
+    return strcmp(*(const char *const *)left, *(const char *const *)right);
+}
+
 static void write_settings(int index, int cloud_port) {
     cJSON *root = cJSON_CreateObject(), *list, *object;
     char text[64];
@@ -1515,7 +1519,10 @@
     cJSON *settings = cJSON_AddObjectToObject(root, "settings");
     cJSON_AddNumberToObject(settings, "size", cfg.controllers);
     list = cJSON_AddArrayToObject(settings, "zones");
-    for (int i = 0; i < cfg.n_zones; i++) cJSON_AddItemToArray(list, cJSON_CreateString(cfg.zones[i]));
+    const char *sorted[WORLD_ZONES_MAX];
+    memcpy(sorted, cfg.zones, sizeof sorted);
+    qsort(sorted, (size_t)cfg.n_zones, sizeof *sorted, compare_names);
+    for (int i = 0; i < cfg.n_zones; i++) cJSON_AddItemToArray(list, cJSON_CreateString(sorted[i]));
     list = cJSON_AddArrayToObject(settings, "teams");
     for (int i = 0; i < cfg.n_teams; i++) {
         object = cJSON_CreateObject();
