--- a/review/lib-2/world.c
+++ b/review/lib-2/world.c
@@ -823,6 +823,8 @@
     } else if (task->state == RUNNING && gang && count_live(job, task->attempt) < spec->tasks &&
                now - task->state_since > cfg.gang_peer_s) {
         end_task(machine, task, "peers");
+    } else if (task->state == RUNNING && machine->index < cfg.faulty && now - task->state_since > 2) {
+        end_task(machine, task, "error");
     } else if (task->state == RUNNING && now >= task->ends_at) {
         if (gang) {
             complete_gang(job, task->attempt);
--- a/review/lib-2/world.h
+++ b/review/lib-2/world.h
@@ -33,6 +33,7 @@
     /* machines that the cloud has of each zone: ordinary, spot */
     int ordinary[WORLD_ZONES_MAX], spot[WORLD_ZONES_MAX];
     const char *objectives; /* JSON list */
+    int faulty;             /* so many machines, those rented first, fail each task after 2 s */
     uint64_t first_seq;     /* number of each worker's first report */
 };
 
