--- a/review/lib-2/world.c
+++ b/review/lib-2/world.c
@@ -621,7 +621,7 @@
 struct machine {
     char id[NAME_BYTES];
     int index, port, zone, listener;
-    bool spot, up, gone, cut, hung;
+    bool spot, up, gone, cut, hung, faulty;
     double rented_at, up_at, listed_at, gone_at;
     uint64_t tenure, seq, fence;
     double lease_from; /* when the last answered report was sent, or the session began */
@@ -823,7 +823,7 @@
     } else if (task->state == RUNNING && gang && count_live(job, task->attempt) < spec->tasks &&
                now - task->state_since > cfg.gang_peer_s) {
         end_task(machine, task, "peers");
-    } else if (task->state == RUNNING && machine->index < cfg.faulty && now - task->state_since > 2) {
+    } else if (task->state == RUNNING && machine->faulty && now - task->state_since > 2) {
         end_task(machine, task, "error");
     } else if (task->state == RUNNING && now >= task->ends_at) {
         if (gang) {
@@ -1132,7 +1132,6 @@
         machine->up = true;
         machine->lease_from = now;
         world_log("machine %s is up", machine->id);
-        machine->listener = net_serve(machine->port, machine->index, on_worker);
         start_thread(worker_main, machine);
     }
     if (machine->hung) return;
@@ -1168,6 +1167,27 @@
     return n;
 }
 
+/* The machine's port is bound now and refuses to answer until the machine is up. */
+static struct machine *add_machine(int zone, bool spot, double rented_at) {
+    struct machine *machine = g_new0(struct machine, 1);
+    machine->index = fleet.n_machines;
+    snprintf(machine->id, sizeof machine->id, "i-%06d", fleet.n_machines + 1);
+    machine->zone = zone;
+    machine->spot = spot;
+    machine->tenure = 1;
+    machine->seq = cfg.first_seq;
+    machine->rented_at = rented_at;
+    machine->up_at = rented_at + cfg.startup_s * (0.7 + 0.1 * (machine->index % 6)); /* 0.6 to 1.5 is usual */
+    machine->listed_at = rented_at + cfg.list_lag_s;
+    machine->controller = (int)g_random_int_range(0, cfg.controllers);
+    fleet.machines[fleet.n_machines++] = machine;
+    do {
+        machine->port = net_free_port();
+        machine->listener = net_serve(machine->port, machine->index, on_worker);
+    } while (machine->listener < 0);
+    return machine;
+}
+
 static int rent(const cJSON *body, cJSON *answer) {
     const char *claim = text_of(body, "claim"), *site = text_of(body, "site"), *sku = text_of(body, "flavour");
     int wanted = (int)number_of(body, "how_many", 0), zone = -1;
@@ -1188,20 +1208,7 @@
     }
     cJSON *hosts = cJSON_AddArrayToObject(answer, "hosts");
     for (int i = 0; i < MIN(room, wanted); i++) {
-        struct machine *machine = g_new0(struct machine, 1);
-        machine->index = fleet.n_machines;
-        snprintf(machine->id, sizeof machine->id, "i-%06d", fleet.n_machines + 1);
-        machine->port = net_free_port();
-        machine->listener = -1;
-        machine->zone = zone;
-        machine->spot = spot;
-        machine->tenure = 1;
-        machine->seq = cfg.first_seq;
-        machine->rented_at = net_now();
-        machine->up_at = net_now() + cfg.startup_s * uniform(0.6, 1.2);
-        machine->listed_at = net_now() + cfg.list_lag_s;
-        machine->controller = (int)g_random_int_range(0, cfg.controllers);
-        fleet.machines[fleet.n_machines++] = machine;
+        const struct machine *machine = add_machine(zone, spot, net_now());
         cJSON_AddItemToArray(hosts, cJSON_CreateString(machine->id));
     }
     char *text = cJSON_PrintUnformatted(hosts);
@@ -1320,6 +1327,14 @@
     return n;
 }
 
+int world_machines_held(void) {
+    int n = 0;
+    pthread_mutex_lock(&fleet.lock);
+    for (int i = 0; i < fleet.n_machines; i++) n += !fleet.machines[i]->gone;
+    pthread_mutex_unlock(&fleet.lock);
+    return n;
+}
+
 int world_machines_up(int zone, bool spot) {
     int n = 0;
     pthread_mutex_lock(&fleet.lock);
@@ -1352,6 +1367,16 @@
     pthread_mutex_unlock(&fleet.lock);
 }
 
+void world_machines_turn_faulty(void) {
+    pthread_mutex_lock(&fleet.lock);
+    for (int i = 0; i < fleet.n_machines; i++) {
+        if (fleet.machines[i]->gone) continue;
+        fleet.machines[i]->faulty = true;
+        world_log("trouble: machine %s is faulty from now on", fleet.machines[i]->id);
+    }
+    pthread_mutex_unlock(&fleet.lock);
+}
+
 void world_late_reports(double share, double from_s, double to_s) {
     fleet.late_report_share = share;
     fleet.late_report_from_s = from_s;
@@ -1637,6 +1662,7 @@
         controllers[i].peer_port = net_free_port();
     }
     for (int i = 0; i < cfg.controllers; i++) write_settings(i, cloud_port);
+    for (int i = 0; i < cfg.up_at_start; i++) add_machine(i % cfg.n_zones, false, net_now() - 300);
     start_thread(tick_main, NULL);
 }
 
--- a/review/lib-2/world.h
+++ b/review/lib-2/world.h
@@ -33,7 +33,7 @@
     /* machines that the cloud has of each zone: ordinary, spot */
     int ordinary[WORLD_ZONES_MAX], spot[WORLD_ZONES_MAX];
     const char *objectives; /* JSON list */
-    int faulty;             /* so many machines, those rented first, fail each task after 2 s */
+    int up_at_start;        /* ordinary machines that are up at the start */
     uint64_t first_seq;     /* number of each worker's first report */
 };
 
@@ -90,11 +90,13 @@
 void world_cloud_capacity(int zone, int ordinary, int spot);
 int world_cloud_refusals(void);             /* rentals that were refused for lack of capacity */
 int world_machines_rented(int zone);        /* ever; zone -1: all */
+int world_machines_held(void);              /* rented and not returned */
 int world_machines_up(int zone, bool spot); /* that report */
 
 /* Machines. */
 void world_machine_cut(int zone, bool cut);           /* all machines of the zone lose the network; -1: all zones */
 void world_machines_hang(const char *uid, bool hang); /* machines with a task of this job stand still */
+void world_machines_turn_faulty(void); /* those that are rented now fail each task 2 s after it began to run */
 void world_late_reports(double share, double from_s, double to_s);
 void world_late_commands(double share, double from_s, double to_s);
 
